--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+
+.PHONY: demo test measure format lint types check unit clean
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+# Runs a caller's session against three daemons on loopback.
+demo: $(VENV)/installed
+	PYTHON=$(BIN)/python tools/demo.sh
+
+# Formatter check, linter, type check and all tests.
+test: format lint types unit
+
+format: $(VENV)/installed
+	$(BIN)/ruff format --check src tests tools
+
+lint: $(VENV)/installed
+	$(BIN)/ruff check src tests tools
+	$(BIN)/flake8 src tools
+
+types: $(VENV)/installed
+	$(BIN)/mypy
+
+unit: $(VENV)/installed
+	$(BIN)/python tools/run_tests.py
+
+# Benchmarks: ratios between two things measured in one run.
+measure: $(VENV)/installed
+	$(BIN)/python tools/measure.py
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/anvilhall/__init__.py
@@ -0,0 +1,1 @@
+"""Routes language-model requests by service level and priority."""
--- /dev/null
+++ b/src/anvilhall/admission.py
@@ -0,0 +1,69 @@
+"""Whether a request fits the limits of its client account and class."""
+
+from anvilhall.exceptions import AccountLimited, ClassLimited
+from anvilhall.limits import Meter
+from anvilhall.messages import Ask
+from anvilhall.settings import Account, ClassSettings, Limits
+from anvilhall.tree import Tree
+
+_UNKNOWN_ACCOUNT = Account(key_sha256=(), limits=Limits())
+
+
+class Admission:
+    """Meters of the accounts and classes that one shard has seen."""
+
+    __slots__ = ('_accounts', '_by_account', '_by_class')
+
+    def __init__(self) -> None:
+        """Start without settings."""
+        self._accounts: dict[str, Account] = {}
+        self._by_account: dict[str, Meter] = {}
+        self._by_class: dict[str, Meter] = {}
+
+    def set_tree(self, tree: Tree) -> None:
+        """Take over changed settings."""
+        self._accounts = {}
+        for node in tree.nodes.values():
+            self._accounts.update(node.accounts)
+
+    def get_weight(self, account: str) -> float:
+        """Return an account's share relative to the others."""
+        return self._get_account(account).weight
+
+    def check(self, ask: Ask, settings: ClassSettings, now: float) -> None:
+        """Refuse a request that is over a limit.
+
+        :param settings: of the request's class.
+        :param now: monotonic seconds.
+        :raises AccountLimited: with the time after which it would fit.
+        :raises ClassLimited: likewise.
+        """
+        tokens = ask.prompt_tokens + ask.max_tokens
+        meter = self._by_account.setdefault(ask.account, Meter())
+        limits = self._get_account(ask.account).limits
+        wait_s = meter.wait_s(limits, tokens, now)
+        if wait_s > 0:
+            raise AccountLimited(retry_after_s=wait_s)
+        class_meter = self._by_class.setdefault(ask.class_name, Meter())
+        wait_s = class_meter.wait_s(settings.limits, tokens, now)
+        if wait_s > 0:
+            raise ClassLimited(retry_after_s=wait_s)
+
+    def admit(self, ask: Ask) -> None:
+        """Charge a request that was checked."""
+        tokens = ask.prompt_tokens + ask.max_tokens
+        self._by_account[ask.account].admit(tokens)
+        self._by_class[ask.class_name].admit(tokens)
+
+    def adopt(self, account: str, class_name: str) -> None:
+        """Count a request that an earlier owner has charged."""
+        self._by_account.setdefault(account, Meter()).admit(0)
+        self._by_class.setdefault(class_name, Meter()).admit(0)
+
+    def leave(self, account: str, class_name: str) -> None:
+        """Count a request as ended."""
+        self._by_account[account].leave()
+        self._by_class[class_name].leave()
+
+    def _get_account(self, name: str) -> Account:
+        return self._accounts.get(name, _UNKNOWN_ACCOUNT)
--- /dev/null
+++ b/src/anvilhall/commands.py
@@ -0,0 +1,400 @@
+"""The operators' command.
+
+Exit codes: 0 done; 1 the settings have faults; 2 wrong usage; 3 lost a race
+against another publication; 4 the outcome is unknown; 5 the platform or an
+instance can't be reached.
+"""
+
+import asyncio
+import pathlib
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import click
+import msgspec
+
+from anvilhall.exceptions import AnvilhallError, PlatformError
+from anvilhall.logservice import HttpLogClient, LogClient
+from anvilhall.operators import Status
+from anvilhall.outbound import Call, Outbound
+from anvilhall.publishing import (
+    PublishOutcome,
+    PublishReport,
+    Reading,
+    build_publication,
+    check_nodes,
+    format_json,
+    list_changes,
+    publish_team,
+    read_settings,
+)
+from anvilhall.settings import Fault, JsonObject, SettingsFaulty
+
+EXIT_FAULTS = 1
+EXIT_LOST = 3
+EXIT_UNKNOWN = 4
+EXIT_UNREACHABLE = 5
+
+#: Calls in flight at once.
+_MAX_CALLS = 32
+_STATUS_TIMEOUT_S = 2.0
+
+_EXITS = {
+    PublishOutcome.ACCEPTED: 0,
+    PublishOutcome.FAULTY: EXIT_FAULTS,
+    PublishOutcome.LOST: EXIT_LOST,
+    PublishOutcome.UNKNOWN: EXIT_UNKNOWN,
+    PublishOutcome.NOT_WRITTEN: EXIT_UNREACHABLE,
+}
+
+_Returned = TypeVar('_Returned')
+_Command = TypeVar('_Command', bound=Callable[..., Any])
+
+_settings_file = click.argument(
+    'settings_file',
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+_log_option = click.option(
+    '--log',
+    'log_url',
+    envvar='ANVILHALL_LOG_URL',
+    required=True,
+    help='URL of the log service.',
+)
+_instances_option = click.option(
+    '--instance',
+    'instances',
+    envvar='ANVILHALL_INSTANCES',
+    multiple=True,
+    required=True,
+    help="URL of the operators' interface of an instance; repeatable.",
+)
+_json_option = click.option(
+    '--json',
+    'as_json',
+    is_flag=True,
+    help='Print JSON for scripts.',
+)
+
+
+@click.group()
+@click.version_option(package_name='anvilhall')
+def run_command() -> None:
+    """Check, publish and watch the settings of anvilhall."""
+
+
+@run_command.command('check')
+@_settings_file
+@_json_option
+def check_settings(settings_file: pathlib.Path, as_json: bool) -> None:
+    """Check SETTINGS_FILE by itself and list every fault."""
+    raw = _read_file(settings_file)
+    try:
+        tree = check_nodes(raw)
+    except SettingsFaulty as error:
+        _print_faults(error.faults, as_json)
+        sys.exit(EXIT_FAULTS)
+    summary = {
+        'teams': len(raw),
+        'classes': len(tree.classes),
+        'pools': len(tree.pools),
+    }
+    if as_json:
+        click.echo(format_json({'faults': [], **summary}))
+    else:
+        click.echo(
+            f'no faults: {summary["teams"]} teams, '
+            f'{summary["classes"]} classes, {summary["pools"]} pools',
+        )
+
+
+@run_command.command('diff')
+@_settings_file
+@_log_option
+@_json_option
+def diff_settings(
+    settings_file: pathlib.Path,
+    log_url: str,
+    as_json: bool,
+) -> None:
+    """Show what publishing SETTINGS_FILE would change."""
+    raw = _read_file(settings_file)
+    reading = _run_with_log(log_url, read_settings)
+    lines = list_changes(raw, reading.state)
+    if as_json:
+        click.echo(format_json({'changed': bool(lines), 'lines': lines}))
+    else:
+        click.echo('\n'.join(lines) or 'no changes')
+
+
+@run_command.command('publish')
+@_settings_file
+@_log_option
+@click.option('--team', 'only_team', help='Publish this team only.')
+@click.option(
+    '--based-on',
+    type=int,
+    help='Version of the team that the file was made from; by default the '
+    'version in force.',
+)
+@click.option(
+    '--patience',
+    type=float,
+    default=10,
+    show_default=True,
+    help='Seconds to look for a publication after a lost answer.',
+)
+@_json_option
+def publish_settings(
+    settings_file: pathlib.Path,
+    log_url: str,
+    only_team: str | None,
+    based_on: int | None,
+    patience: float,
+    as_json: bool,
+) -> None:
+    """Publish the teams in SETTINGS_FILE that differ from those in force."""
+    raw = _select_team(_read_file(settings_file), only_team)
+    if based_on is not None and len(raw) != 1:
+        raise click.UsageError('--based-on needs a single team: add --team')
+
+    async def publish(log: LogClient) -> list[PublishReport]:  # noqa: WPS430
+        reading = await read_settings(log)
+        check_nodes(raw, reading.state)
+        return await _publish_changes(log, raw, reading, based_on, patience)
+
+    reports = _run_with_log(log_url, publish)
+    _print_reports(reports, as_json)
+    sys.exit(max([_EXITS[report.outcome] for report in reports], default=0))
+
+
+@run_command.command('show')
+@_log_option
+@click.option('--team', default=None, help='Path of one team; default: all.')
+@click.option(
+    '--effective',
+    is_flag=True,
+    help='Show classes with what they inherit and all defaults.',
+)
+def show_settings(log_url: str, team: str | None, effective: bool) -> None:
+    """Print the settings in force as JSON."""
+    reading = _run_with_log(log_url, read_settings)
+    if effective:
+        classes = reading.state.tree.classes
+        if team is not None:
+            names = reading.state.teams[team].node.get('classes', {})
+            classes = {name: classes[name] for name in names}
+        shown = {name: _list_fields(entry) for name, entry in classes.items()}
+        click.echo(format_json(shown))
+        return
+    nodes = {path: part.node for path, part in reading.state.teams.items()}
+    if team is not None:
+        nodes = {team: nodes[team]} if team in nodes else {}
+    click.echo(format_json(nodes))
+
+
+@run_command.command('history')
+@_log_option
+@_json_option
+def show_history(log_url: str, as_json: bool) -> None:
+    """List the publications that the log keeps, with what became of them."""
+    reading = _run_with_log(log_url, read_settings)
+    if as_json:
+        verdicts = [verdict for _, verdict in reading.publications]
+        click.echo(format_json(msgspec.to_builtins(verdicts)))
+        return
+    for publication, verdict in reading.publications:
+        outcome = verdict.code or f'accepted as version {verdict.version}'
+        click.echo(
+            f'{verdict.offset}  {publication.team or "(root)"}  '
+            f'{publication.author}  {publication.id}  {outcome}',
+        )
+
+
+@run_command.command('status')
+@_instances_option
+@_json_option
+def show_status(instances: tuple[str, ...], as_json: bool) -> None:
+    """Show what each instance has in force and sees."""
+    statuses = _run_async(_read_statuses(instances))
+    if as_json:
+        click.echo(format_json(msgspec.to_builtins(statuses)))
+    else:
+        _print_statuses(statuses)
+    if None in statuses.values():
+        sys.exit(EXIT_UNREACHABLE)
+
+
+@run_command.command('watch')
+@_instances_option
+@click.option('--every', type=float, default=1, show_default=True)
+@click.option('--times', type=int, default=0, help='Stop after; 0: never.')
+@click.option(
+    '--until-version',
+    type=int,
+    help='Stop when every instance has this settings version in force.',
+)
+def watch_instances(
+    instances: tuple[str, ...],
+    every: float,
+    times: int,
+    until_version: int | None,
+) -> None:
+    """Print the status of the instances again and again."""
+    rounds = 0
+    while True:
+        statuses = _run_async(_read_statuses(instances))
+        _print_statuses(statuses)
+        rounds += 1
+        if until_version is not None and _have_version(statuses, until_version):
+            return
+        if rounds == times:
+            return
+        time.sleep(every)
+
+
+async def _publish_changes(
+    log: LogClient,
+    raw: JsonObject,
+    reading: Reading,
+    based_on: int | None,
+    patience_s: float,
+) -> list[PublishReport]:
+    reports: list[PublishReport] = []
+    for team, node in sorted(raw.items()):
+        part = reading.state.teams.get(team)
+        if part and part.node == node and based_on is None:
+            continue
+        version = reading.state.get_version(team)
+        publication = build_publication(
+            team,
+            node,
+            version if based_on is None else based_on,
+        )
+        reports.append(await publish_team(log, publication, patience_s))
+    return reports
+
+
+async def _read_statuses(
+    instances: tuple[str, ...],
+) -> dict[str, Status | None]:
+    outbound = Outbound(_MAX_CALLS)
+    reads = [_read_status(outbound, url) for url in instances]
+    return dict(zip(instances, await asyncio.gather(*reads), strict=True))
+
+
+async def _read_status(outbound: Outbound, url: str) -> Status | None:
+    call = Call(url=f'{url}/status', timeout_s=_STATUS_TIMEOUT_S)
+    try:
+        reply = await outbound.fetch(call)
+        return msgspec.json.decode(reply.body, type=Status)
+    except (AnvilhallError, msgspec.DecodeError):
+        return None
+
+
+def _run_with_log(
+    log_url: str,
+    work: Callable[[LogClient], Coroutine[Any, Any, _Returned]],
+) -> _Returned:
+    async def run() -> _Returned:  # noqa: WPS430
+        return await work(HttpLogClient(log_url, Outbound(_MAX_CALLS)))
+
+    try:
+        return _run_async(run())
+    except SettingsFaulty as error:
+        _print_faults(error.faults, as_json=False)
+        sys.exit(EXIT_FAULTS)
+    except PlatformError as error:
+        click.echo(
+            f'the log service at {log_url} does not answer: {error.reason}; '
+            'check --log or ANVILHALL_LOG_URL',
+            err=True,
+        )
+        sys.exit(EXIT_UNREACHABLE)
+
+
+def _run_async(work: Coroutine[Any, Any, _Returned]) -> _Returned:
+    return asyncio.run(work)
+
+
+def _read_file(path: pathlib.Path) -> JsonObject:
+    try:
+        raw = msgspec.json.decode(path.read_bytes())
+    except msgspec.DecodeError as error:
+        _print_faults([Fault(path=str(path), reason=str(error))], False)
+        sys.exit(EXIT_FAULTS)
+    if not isinstance(raw, dict):
+        reason = 'not an object of teams by their paths'
+        _print_faults([Fault(path=str(path), reason=reason)], False)
+        sys.exit(EXIT_FAULTS)
+    return raw
+
+
+def _select_team(raw: JsonObject, only_team: str | None) -> JsonObject:
+    if only_team is None:
+        return raw
+    if only_team not in raw:
+        known = ', '.join(sorted(raw))
+        raise click.UsageError(f'no team {only_team!r} in the file: {known}')
+    return {only_team: raw[only_team]}
+
+
+def _list_fields(entry: msgspec.Struct) -> JsonObject:
+    fields: JsonObject = {}
+    for name, field in msgspec.structs.asdict(entry).items():
+        if isinstance(field, msgspec.Struct):
+            fields[name] = _list_fields(field)
+        else:
+            fields[name] = field
+    return fields
+
+
+def _have_version(statuses: dict[str, Status | None], version: int) -> bool:
+    return all(
+        status is not None and status.settings_version >= version
+        for status in statuses.values()
+    )
+
+
+def _print_faults(faults: list[Fault], as_json: bool) -> None:
+    if as_json:
+        click.echo(format_json({'faults': msgspec.to_builtins(faults)}))
+        return
+    for fault in faults:
+        click.echo(f'{fault.path}: {fault.reason}', err=True)
+
+
+def _print_reports(reports: list[PublishReport], as_json: bool) -> None:
+    if as_json:
+        click.echo(format_json(msgspec.to_builtins(reports)))
+        return
+    if not reports:
+        click.echo('nothing differs from what is in force')
+    for report in reports:
+        line = f'{report.team or "(root)"}: {report.outcome.value}'
+        if report.verdict and not report.reason:
+            line = f'{line}, version {report.verdict.version}'
+        if report.reason:
+            line = f'{line}: {report.reason}'
+        click.echo(line)
+
+
+def _print_statuses(statuses: dict[str, Status | None]) -> None:
+    for url, status in statuses.items():
+        if status is None:
+            click.echo(f'{url}: no answer')
+            continue
+        state = 'ready' if status.ready else 'not ready'
+        owned = ', '.join(summary.pool for summary in status.owned) or '-'
+        click.echo(
+            f'{status.instance} ({status.failure_domain}): {state}, '
+            f'settings {status.settings_version}, '
+            f'open {status.open_requests}, owns {owned}, '
+            f'sees {", ".join(status.live)}',
+        )
+
+
+if __name__ == '__main__':
+    run_command()
--- /dev/null
+++ b/src/anvilhall/daemon.py
@@ -0,0 +1,48 @@
+"""The daemon: reads its settings, runs one instance until SIGTERM."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import click
+
+from anvilhall.clock import SystemClock
+from anvilhall.instance import Instance
+from anvilhall.local import LocalConfig
+from anvilhall.logs import start_logging
+from anvilhall.settings import SettingsFaulty
+
+#: Exit code for settings that can't be used.
+_EXIT_SETTINGS = 2
+
+
+@click.command()
+@click.argument(
+    'config_file',
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+def run_daemon(config_file: pathlib.Path) -> None:
+    """Run one entry instance with the settings in CONFIG_FILE."""
+    try:
+        config = LocalConfig.from_file(config_file)
+    except SettingsFaulty as error:
+        click.echo(f'anvilhalld: {error.reason}', err=True)
+        sys.exit(_EXIT_SETTINGS)
+    start_logging()
+    asyncio.run(_run_until_signal(config))
+
+
+async def _run_until_signal(config: LocalConfig) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    instance = Instance.from_config(config, SystemClock())
+    await instance.start()
+    await stop.wait()
+    await instance.stop()
+
+
+if __name__ == '__main__':
+    run_daemon()
--- /dev/null
+++ b/src/anvilhall/fleet.py
@@ -0,0 +1,280 @@
+"""This instance among the others: membership, links and message routing."""
+
+from collections.abc import Callable, Iterable
+
+from anvilhall import defaults
+from anvilhall.broker import Broker
+from anvilhall.clock import Clock
+from anvilhall.directory import Directory
+from anvilhall.exceptions import PeerUnreachable
+from anvilhall.links import LinkEvents, Links
+from anvilhall.local import LocalConfig
+from anvilhall.logs import note_change
+from anvilhall.memberlist import MemberList
+from anvilhall.membership import Membership, Watch
+from anvilhall.messages import (
+    Ask,
+    Grant,
+    Heartbeat,
+    Hello,
+    Inventory,
+    Message,
+    News,
+    Pause,
+    Progress,
+    Refusal,
+    Release,
+)
+from anvilhall.metrics import Metrics
+from anvilhall.owner import OwnerMessage
+from anvilhall.tree import Tree
+
+#: Handles a kind of message that the fleet itself has no use for.
+Handler = Callable[[str, Message], None]
+_MS_PER_S = 1000
+
+
+class Fleet:
+    """Joins the view of the other instances with the broker of grants.
+
+    :param config: who this instance is.
+    :param clock: source of time.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_config',
+        '_directory',
+        '_domains',
+        '_gone_at',
+        '_handlers',
+        '_links',
+        '_membership',
+        '_metrics',
+        '_tree',
+        'broker',
+        'get_covers',
+    )
+
+    def __init__(
+        self,
+        config: LocalConfig,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start alone."""
+        self._config = config
+        self._clock = clock
+        self._metrics = metrics
+        self._tree = Tree({})
+        self._handlers: dict[type[Message], Handler] = {}
+        #: Failure domains of instances that have had a link.
+        self._domains: dict[str, str] = {}
+        #: When the last link to a foreign instance went down.
+        self._gone_at: dict[str, float] = {}
+        #: Returns the offset up to which settings have been folded.
+        self.get_covers: Callable[[], int] = _know_nothing
+        self._directory = Directory(config.instance, config.failure_domain)
+        self._membership = Membership(
+            config.instance,
+            int(clock.now().timestamp() * _MS_PER_S),
+            Watch(
+                suspect_after_s=config.timings.suspect_after_s,
+                remove_after_s=config.timings.remove_after_s,
+            ),
+        )
+        self._links = Links(
+            config,
+            lambda: self._membership.incarnation,
+            metrics,
+            LinkEvents(self._note_up, self._note_down, self._take_message),
+        )
+        self.broker = Broker(
+            config.instance,
+            clock,
+            self._directory,
+            self._send_request,
+            self._forward_answer,
+        )
+
+    @property
+    def live(self) -> list[str]:
+        """Live instances of the own failure domain."""
+        return self._directory.live
+
+    @property
+    def linked(self) -> frozenset[str]:
+        """Instances with an open link."""
+        return self._links.names
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Pass messages of a kind to a handler."""
+        self._handlers[kind] = handler
+
+    async def listen(self) -> None:
+        """Accept links."""
+        await self._links.listen()
+
+    def send(self, instance: str, message: Message) -> None:
+        """Send a message to an instance.
+
+        :raises PeerUnreachable: if there is no link to it.
+        """
+        self._links.send(instance, message)
+
+    def tell_linked(self, message: Message) -> None:
+        """Send a message to every instance with a link."""
+        for name in self._links.names:
+            self._try_send(name, message)
+
+    def set_tree(self, tree: Tree) -> None:
+        """Take over changed settings."""
+        self._tree = tree
+        self.broker.set_tree(tree)
+        self._choose_links()
+
+    def set_list(self, listed: MemberList) -> None:
+        """Take over the platform's list."""
+        self._directory.set_list(listed)
+        self._membership.note_list(
+            self._directory.list_domain_instances(),
+            self._clock.monotonic(),
+        )
+        self._follow_view()
+
+    def beat(self) -> None:
+        """Send heartbeats and judge those of the others."""
+        self._links.beat(self._build_heartbeat(answer=False))
+        news = self._membership.check_watched(self._clock.monotonic())
+        self._spread(news)
+        self._drop_silent_foreigners()
+        if news:
+            self._follow_view()
+
+    def leave(self) -> None:
+        """Hand ownership on: say goodbye and resign from all shards."""
+        self.tell_linked(self._membership.leave())
+        for pool in self.broker.owner.pools:
+            self.broker.owner.resign(pool)
+
+    def close(self) -> None:
+        """Close all links."""
+        self._links.close()
+
+    def _send_request(
+        self,
+        instance: str,
+        message: Ask | Progress | Release | Inventory,
+    ) -> None:
+        if instance not in self._links.names:
+            address = self._directory.get_address(instance)
+            if address:
+                self._links.add(instance, address)
+        self._links.send(instance, message)
+
+    def _forward_answer(self, instance: str, message: OwnerMessage) -> None:
+        self._try_send(instance, message)
+
+    def _try_send(self, instance: str, message: Message) -> None:
+        try:
+            self._links.send(instance, message)
+        except PeerUnreachable:
+            # Everything sent this way is sent again when a link comes up.
+            self._metrics.link_messages.labels('out', 'unreachable').inc()
+
+    def _note_up(self, hello: Hello) -> None:
+        name = hello.instance
+        self._domains[name] = hello.failure_domain
+        self._gone_at.pop(name, None)
+        if hello.failure_domain == self._config.failure_domain:
+            now = self._clock.monotonic()
+            known = self._membership.note_life(name, hello.incarnation, now)
+            self._spread(known)
+            self._follow_view()
+        for pool in self._tree.pools:
+            self.broker.report_inventory(pool)
+
+    def _note_down(self, name: str) -> None:
+        if name in self._links.names:
+            return
+        self.broker.drop_link(name)
+        if self._domains.get(name) != self._config.failure_domain:
+            self._gone_at[name] = self._clock.monotonic()
+
+    def _take_message(self, sender: str, message: Message) -> None:
+        if isinstance(message, Ask | Progress | Release | Inventory):
+            self.broker.owner.handle(sender, message)
+        elif isinstance(message, Grant | Refusal | Pause):
+            self.broker.take_answer(sender, message)
+        elif isinstance(message, Heartbeat):
+            self._take_heartbeat(sender, message)
+        elif isinstance(message, News):
+            self._take_news(message)
+        handler = self._handlers.get(type(message))
+        if handler:
+            handler(sender, message)
+
+    def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        if not heartbeat.answer:
+            self._try_send(sender, self._build_heartbeat(answer=True))
+        if self._domains.get(sender) != self._config.failure_domain:
+            return
+        now = self._clock.monotonic()
+        was_live = sender in self._membership.live
+        news = self._membership.note_life(sender, heartbeat.incarnation, now)
+        self._spread(news)
+        if not was_live and sender in self._membership.live:
+            self._follow_view()
+
+    def _take_news(self, news: News) -> None:
+        fresh = self._membership.note_news(news, self._clock.monotonic())
+        if fresh:
+            self._spread(fresh)
+            self._follow_view()
+
+    def _spread(self, news: Iterable[News]) -> None:
+        for piece in news:
+            self.tell_linked(piece)
+
+    def _follow_view(self) -> None:
+        live = self._membership.live
+        gone = set(self._directory.live) - set(live)
+        if live != self._directory.live:
+            note_change('view_changed', live=live)
+        self._directory.set_live(live)
+        for name in gone:
+            self.broker.owner.drop_sender(name)
+        self._choose_links()
+        self.broker.refresh(self._tree)
+
+    def _choose_links(self) -> None:
+        wanted = set(self._membership.list_watched())
+        for pool in self._tree.pools:
+            wanted.update(self._directory.list_foreign_owners(pool)[:2])
+            owner = self._directory.find_owner(pool)
+            if owner and owner != self._config.instance:
+                wanted.add(owner)
+        addresses: dict[str, str] = {}
+        for name in wanted:
+            address = self._directory.get_address(name)
+            if address:
+                addresses[name] = address
+        self._links.want(addresses)
+
+    def _drop_silent_foreigners(self) -> None:
+        oldest = self._clock.monotonic() - defaults.FOREIGN_SILENCE_S
+        for name, gone_at in list(self._gone_at.items()):
+            if gone_at < oldest:
+                self._gone_at.pop(name)
+                self.broker.owner.drop_sender(name)
+
+    def _build_heartbeat(self, *, answer: bool) -> Heartbeat:
+        return Heartbeat(
+            incarnation=self._membership.incarnation,
+            settings_covers=self.get_covers(),
+            answer=answer,
+        )
+
+
+def _know_nothing() -> int:
+    return -1
--- /dev/null
+++ b/src/anvilhall/follower.py
@@ -0,0 +1,161 @@
+"""Keeps the settings in force: reads the log and exchanges with peers."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from anvilhall.clock import Clock
+from anvilhall.exceptions import LogUnavailable, PlatformError, RecordsExpired
+from anvilhall.fleet import Fleet
+from anvilhall.local import Timings
+from anvilhall.logs import note_change
+from anvilhall.logservice import LogClient, Page
+from anvilhall.messages import Heartbeat, Message, SettingsAsk, SettingsOffer
+from anvilhall.metrics import Metrics
+from anvilhall.publication import (
+    SETTINGS_STREAM,
+    SettingsState,
+    Snapshot,
+    Verdict,
+    decode_record,
+)
+
+#: Seconds before the log is read again after it failed.
+_RETRY_S = 0.25
+_ACCEPTED = 'accepted'
+
+
+class SettingsFollower:
+    """Folds the settings stream into a state and tells of changes.
+
+    :param on_change: called when another version is in force.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_fleet',
+        '_log',
+        '_metrics',
+        '_on_change',
+        '_snapshot_due_at',
+        '_timings',
+        'state',
+    )
+
+    def __init__(
+        self,
+        log: LogClient,
+        fleet: Fleet,
+        clock: Clock,
+        timings: Timings,
+        metrics: Metrics,
+    ) -> None:
+        """Start without settings."""
+        self._log = log
+        self._fleet = fleet
+        self._clock = clock
+        self._timings = timings
+        self._metrics = metrics
+        self.state = SettingsState()
+        self._on_change: Callable[[], None] = _do_nothing
+        self._snapshot_due_at = clock.monotonic() + timings.snapshot_interval_s
+        fleet.get_covers = self._get_covers
+        fleet.handle(Heartbeat, self._take_heartbeat)
+        fleet.handle(SettingsAsk, self._take_ask)
+        fleet.handle(SettingsOffer, self._take_offer)
+
+    @property
+    def ready(self) -> bool:
+        """Whether any settings are in force."""
+        return self.state.version >= 0
+
+    def set_listener(self, on_change: Callable[[], None]) -> None:
+        """Call a function whenever another version is in force."""
+        self._on_change = on_change
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            try:
+                await self._read_page()
+            except RecordsExpired:
+                await self._skip_expired()
+            except PlatformError as error:
+                self._metrics.platform_failures.labels('log', error.code).inc()
+                await asyncio.sleep(_RETRY_S)
+
+    async def _read_page(self) -> None:
+        page = await self._log.read(
+            SETTINGS_STREAM,
+            self.state.next_offset,
+            self._timings.log_poll_s,
+        )
+        self._fold(page)
+        await self._write_snapshot()
+
+    async def _skip_expired(self) -> None:
+        try:
+            start = await self._log.find_start(SETTINGS_STREAM)
+        except LogUnavailable as error:
+            self._metrics.platform_failures.labels('log', error.code).inc()
+            await asyncio.sleep(_RETRY_S)
+            return
+        self.state.skip_to(start)
+
+    def _fold(self, page: Page) -> None:
+        version = self.state.version
+        for record in page.records:
+            parsed = decode_record(record.body)
+            for verdict in self.state.fold(record.offset, parsed):
+                self._note_verdict(verdict)
+        self._tell_change(version)
+
+    def _note_verdict(self, verdict: Verdict) -> None:
+        self._metrics.verdicts.labels(verdict.code or _ACCEPTED).inc()
+
+    def _tell_change(self, version_before: int) -> None:
+        if self.state.version == version_before:
+            return
+        self._metrics.settings_version.set(self.state.version)
+        note_change('settings_in_force', version=self.state.version)
+        self._on_change()
+        self._fleet.tell_linked(self._build_offer())
+
+    async def _write_snapshot(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._snapshot_due_at or not self.ready:
+            return
+        self._snapshot_due_at = now + self._timings.snapshot_interval_s
+        snapshot = msgspec.to_builtins(self.state.take_snapshot())
+        await self._log.append(SETTINGS_STREAM, snapshot)
+
+    def _get_covers(self) -> int:
+        return self.state.covers
+
+    def _take_heartbeat(self, sender: str, message: Message) -> None:
+        if not isinstance(message, Heartbeat):
+            return
+        if message.settings_covers > self.state.covers:
+            self._fleet.send(sender, SettingsAsk(self.state.covers))
+
+    def _take_ask(self, sender: str, message: Message) -> None:
+        if not isinstance(message, SettingsAsk) or not self.ready:
+            return
+        if message.covers < self.state.covers:
+            self._fleet.send(sender, self._build_offer())
+
+    def _take_offer(self, _: str, message: Message) -> None:
+        if not isinstance(message, SettingsOffer):
+            return
+        version = self.state.version
+        snapshot = msgspec.json.decode(message.snapshot, type=Snapshot)
+        if self.state.restore(snapshot):
+            self._tell_change(version)
+
+    def _build_offer(self) -> SettingsOffer:
+        return SettingsOffer(msgspec.json.encode(self.state.take_snapshot()))
+
+
+def _do_nothing() -> None:
+    """Stand in for a listener."""
--- /dev/null
+++ b/src/anvilhall/instance.py
@@ -0,0 +1,230 @@
+"""One entry instance: everything joined, and its periodic work."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from anvilhall import defaults
+from anvilhall.answers import AnswerShelf
+from anvilhall.callers import CallerContext, build_caller_app
+from anvilhall.claims import ClaimKeeper
+from anvilhall.clock import Clock
+from anvilhall.exceptions import PlatformError
+from anvilhall.execution import Services
+from anvilhall.fleet import Fleet
+from anvilhall.follower import SettingsFollower
+from anvilhall.gate import Gate
+from anvilhall.ledger import Ledger
+from anvilhall.local import LocalConfig, split_address
+from anvilhall.logs import note_change
+from anvilhall.logservice import LOG_CLIENTS
+from anvilhall.memberlist import MEMBERSHIP_CLIENTS, MemberList
+from anvilhall.metrics import Metrics
+from anvilhall.operators import Status, build_operator_app
+from anvilhall.outbound import Outbound
+from anvilhall.owner import summarise
+from anvilhall.tree import Tree
+
+#: Seconds between rounds of work that is due by time.
+_TICK_S = 0.05
+#: Seconds between looks at whether a shutdown is complete.
+_DRAIN_POLL_S = 0.05
+#: Seconds for which the balancer may still send requests after readiness fell.
+_LINGER_S = 0.2
+
+
+class Instance:
+    """One entry instance.
+
+    :param config: settings of the process.
+    :param clock: source of time.
+    """
+
+    __slots__ = (
+        '_claims',
+        '_clock',
+        '_config',
+        '_fleet',
+        '_follower',
+        '_gate',
+        '_membership',
+        '_metrics',
+        '_outbound',
+        '_servers',
+        '_services',
+        '_shelf',
+        '_tasks',
+    )
+
+    def __init__(self, config: LocalConfig, clock: Clock) -> None:
+        """Build all parts; nothing runs yet."""
+        self._config = config
+        self._clock = clock
+        self._metrics = Metrics()
+        self._outbound = Outbound(config.max_calls)
+        self._fleet = Fleet(config, clock, self._metrics)
+        log = LOG_CLIENTS.get(config.platform.log_client)(
+            config.platform.log_url,
+            self._outbound,
+        )
+        self._membership = MEMBERSHIP_CLIENTS.get(
+            config.platform.membership_client,
+        )(config.platform.membership_url, self._outbound)
+        self._follower = SettingsFollower(
+            log,
+            self._fleet,
+            clock,
+            config.timings,
+            self._metrics,
+        )
+        self._follower.set_listener(self._apply_settings)
+        self._claims = ClaimKeeper(
+            config.instance,
+            log,
+            Ledger(defaults.CLAIM_WINDOW_S),
+            clock,
+            config.timings,
+            self._metrics,
+        )
+        self._shelf = AnswerShelf(self._claims, self._fleet)
+        self._gate = Gate(self._get_tree, self._metrics)
+        self._services = Services(
+            self._fleet.broker,
+            self._claims,
+            self._outbound,
+            clock,
+            self._metrics,
+        )
+        self._servers: list[HTTPServer] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(cls, config: LocalConfig, clock: Clock) -> 'Instance':
+        """Build an instance from the settings of its process."""
+        return cls(config, clock)
+
+    async def start(self) -> None:
+        """Listen and begin the periodic work."""
+        timings = self._config.timings
+        await self._fleet.listen()
+        context = CallerContext(self._gate, self._services, self._shelf)
+        listen = self._config.listen
+        self._serve(build_caller_app(context), listen.callers)
+        self._serve(
+            build_operator_app(self._gate, self._metrics, self.describe),
+            listen.operators,
+        )
+        self._spawn(self._follower.run)
+        self._spawn(self._claims.run)
+        self._repeat(self._read_list, timings.membership_interval_s)
+        self._repeat(self._beat, timings.heartbeat_interval_s)
+        self._repeat(self._tick, _TICK_S)
+        note_change('started', instance=self._config.instance)
+
+    async def stop(self) -> None:
+        """Refuse new requests, end those in flight, hand ownership on."""
+        self._gate.draining = True
+        note_change('draining', instance=self._config.instance)
+        await asyncio.sleep(_LINGER_S)
+        self._fleet.leave()
+        try:
+            async with asyncio.timeout(self._config.timings.drain_timeout_s):
+                await self._wait_drained()
+        except TimeoutError:
+            note_change('drain_timeout', open=self._gate.open_requests)
+        self.close()
+        note_change('stopped', instance=self._config.instance)
+
+    def close(self) -> None:
+        """Stop everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.stop()
+        self._fleet.close()
+
+    def describe(self) -> Status:
+        """Return what operators see of this instance."""
+        state = self._follower.state
+        return Status(
+            instance=self._config.instance,
+            failure_domain=self._config.failure_domain,
+            ready=self._gate.ready,
+            draining=self._gate.draining,
+            settings_version=state.version,
+            settings_covers=state.covers,
+            teams={team: part.version for team, part in state.teams.items()},
+            open_requests=self._gate.open_requests,
+            live=self._fleet.live,
+            linked=sorted(self._fleet.linked),
+            owned=summarise(self._fleet.broker.owner),
+            claims=len(self._claims.ledger),
+        )
+
+    def _get_tree(self) -> Tree | None:
+        if not self._follower.ready:
+            return None
+        return self._follower.state.tree
+
+    def _apply_settings(self) -> None:
+        tree = self._follower.state.tree
+        self._claims.ledger.window_s = tree.guards.claim_window_s
+        self._services.budget.share = tree.guards.retry_budget_share
+        self._fleet.set_tree(tree)
+
+    async def _read_list(self) -> None:
+        try:
+            listed: MemberList = await self._membership.read()
+        except PlatformError as error:
+            self._metrics.platform_failures.labels(
+                'membership',
+                error.code,
+            ).inc()
+            return
+        self._fleet.set_list(listed)
+
+    async def _beat(self) -> None:
+        self._fleet.beat()
+
+    async def _tick(self) -> None:
+        self._fleet.broker.tick()
+
+    async def _wait_drained(self) -> None:
+        while self._gate.open_requests or not self._claims.settled:
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    def _serve(self, application: Application, address: str) -> None:
+        host, port = split_address(address)
+        server = HTTPServer(
+            application,
+            max_header_size=defaults.HEADER_LIMIT_BYTES,
+            max_body_size=_BODY_CEILING_BYTES,
+        )
+        server.listen(port, host)
+        self._servers.append(server)
+
+    def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.ensure_future(_run(work)))
+
+    def _repeat(
+        self,
+        work: Callable[[], Awaitable[None]],
+        interval_s: float,
+    ) -> None:
+        async def repeat() -> None:  # noqa: WPS430
+            while True:
+                await work()
+                await asyncio.sleep(interval_s)
+
+        self._spawn(repeat)
+
+
+#: Body size beyond which the server itself closes the connection; below it
+#: the handler answers with a typed error.
+_BODY_CEILING_BYTES = 1 << 30
+
+
+async def _run(work: Callable[[], Awaitable[None]]) -> None:
+    await work()
--- /dev/null
+++ b/src/anvilhall/jobs.py
@@ -0,0 +1,142 @@
+"""One caller's request, as the entry instance holds it."""
+
+import hashlib
+import math
+from typing import Any
+
+import msgspec
+
+from anvilhall import defaults
+from anvilhall.exceptions import MalformedRequest
+from anvilhall.messages import Ask
+from anvilhall.settings import ClassSettings, Pool
+
+#: Longest answer in tokens, if the caller states none.
+_MAX_TOKENS = 1024
+#: Key under which engines and callers know the fields of a chat body.
+_Fields = dict[str, msgspec.Raw]
+
+
+class ChatBody:
+    """A chat-completions body, decoded as far as routing needs."""
+
+    __slots__ = ('fields', 'max_tokens', 'messages', 'model', 'stream')
+
+    def __init__(self, fields: _Fields) -> None:
+        """Read the fields that matter here.
+
+        :raises MalformedRequest: if a field has the wrong type.
+        """
+        self.fields = fields
+        self.messages = _decode_field(fields, 'messages', list[msgspec.Raw])
+        self.stream = bool(_decode_field(fields, 'stream', bool | None))
+        limit = _decode_field(fields, 'max_tokens', int | None)
+        self.model = _decode_field(fields, 'model', str | None) or ''
+        self.max_tokens = _MAX_TOKENS if limit is None else limit
+        if not self.messages:
+            raise MalformedRequest('$.messages: no message')
+        if self.max_tokens < 1:
+            raise MalformedRequest('$.max_tokens: below 1')
+
+    @classmethod
+    def from_body(cls, body: bytes) -> 'ChatBody':
+        """Decode a request body.
+
+        :raises MalformedRequest: if it is not a chat-completions body.
+        """
+        try:
+            fields = msgspec.json.decode(body, type=_Fields)
+        except msgspec.DecodeError as error:
+            raise MalformedRequest(str(error)) from error
+        return cls(fields)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated size of the prompt."""
+        size = sum(len(bytes(message)) for message in self.messages)
+        return max(1, size // defaults.BYTES_PER_TOKEN)
+
+    @property
+    def prefix_tokens(self) -> int:
+        """Estimated size of the first message, if others follow it."""
+        if len(self.messages) == 1:
+            return 0
+        return len(bytes(self.messages[0])) // defaults.BYTES_PER_TOKEN
+
+    @property
+    def prefix(self) -> str:
+        """Hash of the first message, if others follow it."""
+        if len(self.messages) == 1:
+            return ''
+        digest = hashlib.blake2b(bytes(self.messages[0]), digest_size=8)
+        return digest.hexdigest()
+
+
+class Job:
+    """A request between its arrival and the end of its answer."""
+
+    __slots__ = (
+        'account',
+        'body',
+        'chat',
+        'class_name',
+        'deadline_at',
+        'key',
+        'method',
+        'path',
+        'pool',
+        'request_id',
+        'settings',
+    )
+
+    def __init__(self, request_id: str, account: str) -> None:
+        """Start with what identifies the request."""
+        self.request_id = request_id
+        self.account = account
+        self.class_name = ''
+        self.settings: ClassSettings
+        self.pool: Pool
+        #: Idempotency key, empty if the caller gave none.
+        self.key = ''
+        self.method = 'POST'
+        #: Path below the service, for plain services.
+        self.path = ''
+        self.body = b''
+        self.chat: ChatBody | None = None
+        #: Monotonic seconds.
+        self.deadline_at = math.inf
+
+    @property
+    def retryable(self) -> bool:
+        """Whether the request may be sent again after it may have run."""
+        return self.settings.idempotent
+
+    @property
+    def body_digest(self) -> str:
+        """Hash of what was asked, to recognise a reused key."""
+        digest = hashlib.blake2b(self.path.encode(), digest_size=8)
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    def describe(self, now: float, avoid: tuple[str, ...] = ()) -> Ask:
+        """Return the message that asks for a runner."""
+        chat = self.chat
+        return Ask(
+            pool=self.settings.pool,
+            request_id=self.request_id,
+            class_name=self.class_name,
+            account=self.account,
+            prompt_tokens=chat.prompt_tokens if chat else 1,
+            max_tokens=chat.max_tokens if chat else 1,
+            prefix=chat.prefix if chat else '',
+            prefix_tokens=chat.prefix_tokens if chat else 0,
+            deadline_s=self.deadline_at - now,
+            avoid=avoid,
+        )
+
+
+def _decode_field(fields: _Fields, name: str, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(fields.get(name, b'null'), type=kind)
+    except msgspec.DecodeError as error:
+        raise MalformedRequest(f'$.{name}: {error}') from error
--- /dev/null
+++ b/src/anvilhall/local.py
@@ -0,0 +1,111 @@
+"""Settings of one process: who it is and where everything is.
+
+They are read from a JSON file at start and never change.
+"""
+
+import pathlib
+
+import msgspec
+
+from anvilhall import defaults
+from anvilhall.settings import Fault, SettingsFaulty
+
+
+class _Strict(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """Base of all local settings."""
+
+
+class Listen(_Strict, frozen=True, kw_only=True):
+    """Addresses to listen on, each a host by IP number and a port."""
+
+    #: Callers' HTTP interface.
+    callers: str
+    #: Links between instances.
+    peers: str
+    #: Health, metrics and status.
+    operators: str
+
+
+class Platform(_Strict, frozen=True, kw_only=True):
+    """Where the platform's services are."""
+
+    log_url: str
+    membership_url: str
+    weights_url: str = ''
+    #: Names of the adapters.
+    log_client: str = 'http'
+    membership_client: str = 'http'
+
+
+class Tls(_Strict, frozen=True, kw_only=True):
+    """Certificate files for links between instances, in PEM."""
+
+    certificate: str
+    private_key: str
+    #: Certificates of the authority that signed the peers' certificates.
+    authority: str
+
+
+class Timings(_Strict, frozen=True, kw_only=True):
+    """Periods of the process's own work, in seconds."""
+
+    membership_interval_s: float = defaults.MEMBERSHIP_INTERVAL_S
+    load_interval_s: float = defaults.LOAD_INTERVAL_S
+    log_poll_s: float = defaults.LOG_POLL_S
+    heartbeat_interval_s: float = defaults.HEARTBEAT_INTERVAL_S
+    suspect_after_s: float = defaults.SUSPECT_AFTER_S
+    remove_after_s: float = defaults.REMOVE_AFTER_S
+    claim_timeout_s: float = defaults.CLAIM_TIMEOUT_S
+    drain_timeout_s: float = defaults.DRAIN_TIMEOUT_S
+    snapshot_interval_s: float = defaults.SNAPSHOT_INTERVAL_S
+
+
+class LocalConfig(_Strict, frozen=True, kw_only=True):
+    """Settings of one process."""
+
+    #: Name of this instance, unique among all.
+    instance: str
+    failure_domain: str
+    region: str = ''
+    listen: Listen
+    platform: Platform
+    #: Shared secret of all instances.
+    peer_key: str
+    tls: Tls | None = None
+    timings: Timings = Timings()
+    #: Calls in flight at once to upstreams and the platform.
+    max_calls: int = 2 * defaults.OPEN_REQUESTS_LIMIT
+
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> 'LocalConfig':
+        """Read and check a file.
+
+        :raises SettingsFaulty: with the place of the first fault.
+        """
+        try:
+            return msgspec.json.decode(path.read_bytes(), type=cls)
+        except OSError as error:
+            raise _report(path, str(error)) from error
+        except msgspec.DecodeError as error:
+            raise _report(path, str(error)) from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split a host and a port.
+
+    :raises SettingsFaulty: if the address has no port.
+    """
+    host, colon, port = address.rpartition(':')
+    if not colon or not port.isdigit():
+        fault = Fault(path=address, reason='not of the form HOST:PORT')
+        raise SettingsFaulty([fault])
+    return host, int(port)
+
+
+def _report(path: pathlib.Path, reason: str) -> SettingsFaulty:
+    return SettingsFaulty([Fault(path=str(path), reason=reason)])
--- /dev/null
+++ b/src/anvilhall/logservice.py
@@ -0,0 +1,136 @@
+"""Clients of the platform's append-only log service."""
+
+from typing import Any, Protocol, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from anvilhall.exceptions import (
+    AppendUncertain,
+    LogUnavailable,
+    RecordsExpired,
+    UpstreamCut,
+    UpstreamRefused,
+    UpstreamStalled,
+)
+from anvilhall.outbound import Call, Outbound, Reply
+from anvilhall.registry import Registry
+
+#: Seconds that an append or a read without waiting may take.
+_CALL_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+_HTTP_GONE = 410
+_Decoded = TypeVar('_Decoded')
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One record of a stream."""
+
+    offset: int
+    body: Any
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Records of a stream, in order of their offsets."""
+
+    records: tuple[Record, ...]
+    #: Offset after the last record of the stream.
+    end: int
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    offset: int
+
+
+class LogClient(Protocol):
+    """What the system needs of a log service."""
+
+    async def append(self, stream: str, body: Any) -> int:
+        """Append a record and return its offset.
+
+        :raises LogUnavailable: if nothing was written.
+        :raises AppendUncertain: if the record may have been written.
+        """
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> Page:
+        """Read records from an offset on.
+
+        :param wait_s: seconds to wait for the first record.
+        :raises RecordsExpired: if the offset is no longer kept.
+        :raises LogUnavailable: if the service does not answer.
+        """
+
+    async def find_start(self, stream: str) -> int:
+        """Return the oldest offset that is kept.
+
+        :raises LogUnavailable: if the service does not answer.
+        """
+
+
+LOG_CLIENTS: Registry[type['HttpLogClient']] = Registry('log client')
+
+
+@LOG_CLIENTS.register('http')
+class HttpLogClient:
+    """Log service with an HTTP interface and JSON records."""
+
+    __slots__ = ('_base_url', '_outbound')
+
+    def __init__(self, base_url: str, outbound: Outbound) -> None:
+        """Use the service at a URL."""
+        self._base_url = base_url
+        self._outbound = outbound
+
+    async def append(self, stream: str, body: Any) -> int:
+        """Append a record and return its offset."""
+        call = Call(
+            url=self._locate(stream),
+            method='POST',
+            headers={'Content-Type': 'application/json'},
+            body=msgspec.json.encode(body),
+            timeout_s=_CALL_TIMEOUT_S,
+        )
+        try:
+            reply = await self._outbound.fetch(call)
+        except UpstreamRefused as error:
+            raise LogUnavailable(error.reason) from error
+        except (UpstreamCut, UpstreamStalled) as error:
+            raise AppendUncertain(error.reason) from error
+        if reply.status != _HTTP_OK:
+            raise LogUnavailable(f'append answered {reply.status}')
+        return _decode(reply, _Appended).offset
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> Page:
+        """Read records from an offset on."""
+        query = urlencode({'from': offset, 'wait_s': wait_s})
+        url = f'{self._locate(stream)}?{query}'
+        reply = await self._get(url, wait_s + _CALL_TIMEOUT_S)
+        if reply.status == _HTTP_GONE:
+            raise RecordsExpired(f'offset {offset} is no longer kept')
+        return _decode(reply, Page)
+
+    async def find_start(self, stream: str) -> int:
+        """Return the oldest offset that is kept."""
+        url = f'{self._locate(stream)}/start'
+        return _decode(await self._get(url, _CALL_TIMEOUT_S), _Appended).offset
+
+    def _locate(self, stream: str) -> str:
+        return f'{self._base_url}/streams/{stream}'
+
+    async def _get(self, url: str, timeout_s: float) -> Reply:
+        try:
+            reply = await self._outbound.fetch(
+                Call(url=url, timeout_s=timeout_s),
+            )
+        except (UpstreamRefused, UpstreamCut, UpstreamStalled) as error:
+            raise LogUnavailable(error.reason) from error
+        if reply.status not in {_HTTP_OK, _HTTP_GONE}:
+            raise LogUnavailable(f'read answered {reply.status}')
+        return reply
+
+
+def _decode(reply: Reply, kind: type[_Decoded]) -> _Decoded:
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise LogUnavailable(f'unreadable answer: {error}') from error
--- /dev/null
+++ b/src/anvilhall/memberlist.py
@@ -0,0 +1,77 @@
+"""Clients of the platform's membership list."""
+
+from typing import Protocol
+
+import msgspec
+
+from anvilhall.exceptions import (
+    PlatformError,
+    UpstreamCut,
+    UpstreamRefused,
+    UpstreamStalled,
+)
+from anvilhall.outbound import Call, Outbound
+from anvilhall.registry import Registry
+
+#: Seconds that one look at the list may take.
+_CALL_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One entry of the list: an entry instance or an upstream."""
+
+    name: str
+    #: Host and port: of the peer link for an instance, of HTTP for an upstream.
+    address: str
+    failure_domain: str
+    #: Pool of an upstream; empty for an entry instance.
+    pool: str = ''
+    leaving: bool = False
+
+
+class MemberList(msgspec.Struct, frozen=True):
+    """The list as the platform tells it, which lags behind the truth."""
+
+    members: tuple[Member, ...]
+
+
+class MembershipClient(Protocol):
+    """What the system needs of a membership list."""
+
+    async def read(self) -> MemberList:
+        """Return the list.
+
+        :raises PlatformError: if the service does not answer.
+        """
+
+
+MEMBERSHIP_CLIENTS: Registry[type['HttpMembershipClient']] = Registry(
+    'membership client',
+)
+
+
+@MEMBERSHIP_CLIENTS.register('http')
+class HttpMembershipClient:
+    """Membership list with an HTTP interface."""
+
+    __slots__ = ('_base_url', '_outbound')
+
+    def __init__(self, base_url: str, outbound: Outbound) -> None:
+        """Use the service at a URL."""
+        self._base_url = base_url
+        self._outbound = outbound
+
+    async def read(self) -> MemberList:
+        """Return the list."""
+        call = Call(url=f'{self._base_url}/members', timeout_s=_CALL_TIMEOUT_S)
+        try:
+            reply = await self._outbound.fetch(call)
+        except (UpstreamRefused, UpstreamCut, UpstreamStalled) as error:
+            raise PlatformError(error.reason) from error
+        if reply.status != _HTTP_OK:
+            raise PlatformError(f'the list answered {reply.status}')
+        try:
+            return msgspec.json.decode(reply.body, type=MemberList)
+        except msgspec.DecodeError as error:
+            raise PlatformError(f'unreadable list: {error}') from error
--- /dev/null
+++ b/src/anvilhall/metrics.py
@@ -0,0 +1,140 @@
+"""Counters and gauges of one instance."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+_FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
+_CLASS = 'class_name'
+_CODE = 'code'
+_REASON = 'reason'
+
+
+class Metrics:
+    """All metrics of one instance, in a registry of their own."""
+
+    __slots__ = (
+        'bytes_relayed',
+        'claims',
+        'events_relayed',
+        'first_token',
+        'grants',
+        'link_messages',
+        'links_opened',
+        'open_requests',
+        'orders',
+        'platform_failures',
+        'refusals',
+        'registry',
+        'requests',
+        'retries',
+        'settings_version',
+        'uncertain',
+        'unknown_messages',
+        'verdicts',
+    )
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.registry = CollectorRegistry()
+        self.requests = self._count(
+            'requests',
+            'Requests taken in.',
+            _CLASS,
+        )
+        self.refusals = self._count(
+            'refusals',
+            'Requests refused before any upstream saw them.',
+            _CODE,
+            _CLASS,
+        )
+        self.uncertain = self._count(
+            'failures',
+            'Requests that failed after an upstream may have seen them.',
+            _CODE,
+            _CLASS,
+        )
+        self.retries = self._count(
+            'retries',
+            'Further attempts, by the failure of the one before.',
+            _REASON,
+            _CLASS,
+        )
+        self.grants = self._count(
+            'grants',
+            'Grants received, by where the owner stood.',
+            'owner',
+        )
+        self.claims = self._count('claims', 'Claims by their result.', 'result')
+        self.events_relayed = self._count(
+            'events_relayed',
+            'Events passed on to callers.',
+        )
+        self.bytes_relayed = self._count(
+            'bytes_relayed',
+            'Bytes passed on to callers.',
+        )
+        self.platform_failures = self._count(
+            'platform_failures',
+            'Failed calls to the platform.',
+            'service',
+            _CODE,
+        )
+        self.link_messages = self._count(
+            'link_messages',
+            'Messages on links between instances.',
+            'direction',
+            'kind',
+        )
+        self.links_opened = self._count(
+            'links_opened',
+            'Links between instances that came up.',
+            'direction',
+        )
+        self.unknown_messages = self._count(
+            'unknown_messages',
+            'Link messages of a kind that this version does not know.',
+        )
+        self.verdicts = self._count(
+            'publications',
+            'Publications folded, by the code of their refusal.',
+            _CODE,
+        )
+        self.orders = self._count(
+            'orders',
+            'Orders to engines by their result.',
+            'result',
+        )
+        self.open_requests = Gauge(
+            'anvilhall_open_requests',
+            'Requests between arrival and the end of their answer.',
+            registry=self.registry,
+        )
+        self.settings_version = Gauge(
+            'anvilhall_settings_version',
+            'Offset of the publication in force.',
+            registry=self.registry,
+        )
+        self.first_token = Histogram(
+            'anvilhall_first_token_seconds',
+            'Time from arrival to the first event.',
+            [_CLASS],
+            buckets=_FIRST_TOKEN_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(self.registry)
+
+    def _count(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(
+            f'anvilhall_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/anvilhall/owner.py
@@ -0,0 +1,217 @@
+"""The shards that this instance owns, and the messages about them.
+
+No input or output: messages leave through the callback given at construction.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from anvilhall import defaults
+from anvilhall.clock import Clock
+from anvilhall.exceptions import Overloaded
+from anvilhall.messages import (
+    Ask,
+    Grant,
+    Inventory,
+    Pause,
+    Progress,
+    Refusal,
+    Release,
+)
+from anvilhall.shard import Action, Seat, Shard
+from anvilhall.tree import Tree
+
+#: Code of a refusal by an instance that does not own the shard.
+NOT_OWNER = 'not_owner'
+
+OwnerMessage = Grant | Refusal | Pause
+Deliver = Callable[[str, OwnerMessage], None]
+
+
+class _Owned:
+    """One owned shard, and who still has to report to its new owner."""
+
+    __slots__ = ('awaited', 'settled_at', 'shard')
+
+    def __init__(self, shard: Shard, awaited: set[str], until: float) -> None:
+        self.shard = shard
+        self.awaited = awaited
+        self.settled_at = until
+
+    def is_settled(self, now: float) -> bool:
+        return not self.awaited or now >= self.settled_at
+
+
+class Owner:
+    """Owned shards by pool name.
+
+    :param clock: source of time.
+    :param deliver: sends a message to an instance, this one included.
+    """
+
+    __slots__ = ('_clock', '_deliver', '_owned', '_seats', '_tree')
+
+    def __init__(self, clock: Clock, deliver: Deliver) -> None:
+        """Start owning nothing."""
+        self._clock = clock
+        self._deliver = deliver
+        self._owned: dict[str, _Owned] = {}
+        self._seats: dict[str, tuple[Seat, ...]] = {}
+        self._tree = Tree({})
+
+    @property
+    def pools(self) -> frozenset[str]:
+        """Names of the pools whose shard is owned."""
+        return frozenset(self._owned)
+
+    def get_shard(self, pool: str) -> Shard | None:
+        """Return the shard of a pool, if it is owned."""
+        owned = self._owned.get(pool)
+        return owned.shard if owned else None
+
+    def set_tree(self, tree: Tree) -> None:
+        """Take over changed settings."""
+        self._tree = tree
+        for pool, owned in list(self._owned.items()):
+            if pool in tree.pools:
+                owned.shard.set_tree(tree)
+            else:
+                self.resign(pool)
+
+    def set_seats(self, pool: str, seats: Iterable[Seat]) -> None:
+        """Take over the runners of a pool in this failure domain."""
+        self._seats[pool] = tuple(seats)
+        owned = self._owned.get(pool)
+        if owned:
+            owned.shard.set_runners(self._seats[pool])
+            self._dispatch(owned)
+
+    def take_over(
+        self,
+        pool: str,
+        peers: Iterable[str],
+        share: float = 1.0,
+    ) -> None:
+        """Become the owner of a pool's shard.
+
+        :param peers: instances whose inventory is awaited before granting.
+        :param share: share of the runners' slots to use.
+        """
+        if pool in self._owned or pool not in self._tree.pools:
+            return
+        shard = Shard(pool, self._tree)
+        shard.share = share
+        shard.set_runners(self._seats.get(pool, ()))
+        until = self._clock.monotonic() + defaults.SETTLING_S
+        self._owned[pool] = _Owned(shard, set(peers), until)
+
+    def resign(self, pool: str) -> None:
+        """Stop owning a shard; those who wait are told to ask elsewhere."""
+        owned = self._owned.pop(pool, None)
+        if owned is None:
+            return
+        for sender, request_id in owned.shard.list_waiting():
+            self._refuse_foreign(sender, request_id)
+
+    def handle(
+        self,
+        sender: str,
+        message: Ask | Progress | Release | Inventory,
+    ) -> None:
+        """Take in a message about a request."""
+        owned = self._owned.get(message.pool)
+        if owned is None:
+            if isinstance(message, Ask):
+                self._refuse_foreign(sender, message.request_id)
+            return
+        self._apply(owned, sender, message)
+        self._dispatch(owned)
+        if isinstance(message, Ask) and message.at_once:
+            self._refuse_waiting(owned, sender, message.request_id)
+
+    def drop_sender(self, sender: str) -> None:
+        """Free all that an instance held that is gone."""
+        for owned in self._owned.values():
+            owned.awaited.discard(sender)
+            owned.shard.drop_sender(sender)
+            self._dispatch(owned)
+
+    def tick(self) -> None:
+        """Do what is due by time alone."""
+        for owned in self._owned.values():
+            self._dispatch(owned)
+
+    def _apply(
+        self,
+        owned: _Owned,
+        sender: str,
+        message: Ask | Progress | Release | Inventory,
+    ) -> None:
+        now = self._clock.monotonic()
+        shard = owned.shard
+        if isinstance(message, Ask):
+            self._send(shard.submit(sender, message, now))
+        elif isinstance(message, Progress):
+            shard.note_progress(message, now)
+        elif isinstance(message, Release):
+            shard.release(message, now)
+        else:
+            owned.awaited.discard(sender)
+            for held in message.held:
+                shard.adopt(sender, held, now)
+
+    def _dispatch(self, owned: _Owned) -> None:
+        now = self._clock.monotonic()
+        if owned.is_settled(now):
+            self._send(owned.shard.dispatch(now, self._clock.now()))
+
+    def _send(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            self._deliver(action.instance, action.message)
+
+    def _refuse_waiting(
+        self,
+        owned: _Owned,
+        sender: str,
+        request_id: str,
+    ) -> None:
+        if not owned.shard.withdraw(request_id):
+            return
+        refusal = Refusal(
+            request_id=request_id,
+            code=Overloaded.code,
+            reason='no slot is free at once',
+        )
+        self._deliver(sender, refusal)
+
+    def _refuse_foreign(self, sender: str, request_id: str) -> None:
+        reason = 'this instance does not own the shard'
+        refusal = Refusal(request_id=request_id, code=NOT_OWNER, reason=reason)
+        self._deliver(sender, refusal)
+
+
+class OwnedSummary(msgspec.Struct, frozen=True):
+    """State of one owned shard, for operators."""
+
+    pool: str
+    waiting: int
+    running: int
+    runners: int
+
+
+def summarise(owner: Owner) -> list[OwnedSummary]:
+    """Return the state of every owned shard."""
+    summaries: list[OwnedSummary] = []
+    for pool in sorted(owner.pools):
+        shard = owner.get_shard(pool)
+        if shard:
+            summaries.append(
+                OwnedSummary(
+                    pool=pool,
+                    waiting=shard.waiting_count,
+                    running=shard.running_count,
+                    runners=len(shard.runners),
+                ),
+            )
+    return summaries
--- /dev/null
+++ b/src/anvilhall/runners.py
@@ -0,0 +1,205 @@
+"""What the owner of a shard knows and believes of its runners."""
+
+import collections
+
+from anvilhall.messages import Ask
+from anvilhall.settings import Pool
+
+#: Shared prompt beginnings remembered for one runner.
+_PREFIXES_KEPT = 256
+#: Weight of the newest observation in the slowdown average.
+_SLOWDOWN_WEIGHT = 0.3
+#: Slowdown from which a runner counts as a straggler.
+STRAGGLER_SLOWDOWN = 3.0
+#: Shortest first-token time that predictions assume, in seconds.
+_MIN_PREDICTION_S = 0.01
+#: Shortest and longest pause between probes of a failed runner, in seconds.
+_PROBE_MIN_S = 0.5
+_PROBE_MAX_S = 15.0
+#: Seconds between probes of a straggler.
+_STRAGGLER_PROBE_S = 2.0
+_MS_PER_S = 1000.0
+
+
+class Work:
+    """One granted request, as its runner's account sees it."""
+
+    __slots__ = (
+        'account',
+        'class_name',
+        'first_token_seen',
+        'granted_at',
+        'long',
+        'predicted_s',
+        'prefill_tokens',
+        'request_id',
+        'runner',
+        'tier',
+        'tokens',
+    )
+
+    def __init__(self, request_id: str, class_name: str, account: str) -> None:
+        """Describe the request; the owner fills in the rest on grant."""
+        self.request_id = request_id
+        self.class_name = class_name
+        self.account = account
+        self.runner = ''
+        self.tier = 0
+        self.long = False
+        self.prefill_tokens = 0
+        self.tokens = 0
+        self.granted_at = 0.0
+        self.predicted_s = 0.0
+        self.first_token_seen = False
+
+
+class Runner:
+    """Slot account, prefix beliefs and health of one runner."""
+
+    __slots__ = (
+        '_failures',
+        '_pool',
+        '_prefixes',
+        '_probe_at',
+        '_probing',
+        'address',
+        'leaving',
+        'name',
+        'reported_running',
+        'slowdown',
+        'works',
+    )
+
+    def __init__(self, name: str, address: str, pool: Pool) -> None:
+        """Start healthy and idle."""
+        self.name = name
+        self.address = address
+        self._pool = pool
+        self.works: dict[str, Work] = {}
+        self.leaving = False
+        self.slowdown = 1.0
+        self.reported_running = 0
+        self._prefixes: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._failures = 0
+        self._probe_at = 0.0
+        self._probing = ''
+
+    @property
+    def suspect(self) -> bool:
+        """Whether the runner gets single probes only."""
+        return self._failures > 0 or self.slowdown >= STRAGGLER_SLOWDOWN
+
+    def set_pool(self, pool: Pool) -> None:
+        """Take over changed settings of the pool."""
+        self._pool = pool
+
+    def can_take(self, work: Work, spare_slots: int, now: float) -> bool:
+        """Return whether the runner has room for a request.
+
+        :param spare_slots: slots to leave free for higher tiers.
+        :param now: monotonic seconds.
+        """
+        if self.leaving:
+            return False
+        if self.suspect and (self._probing or now < self._probe_at):
+            return False
+        if len(self.works) + spare_slots >= self._pool.slots:
+            return False
+        return not work.long or self._has_room_for_long(work)
+
+    def predict_first_token_s(self, ask: Ask) -> float:
+        """Predict the time to the first token of a further request."""
+        cached = min(self._prefixes.get(ask.prefix, 0), ask.prompt_tokens)
+        backlog = sum(
+            work.prefill_tokens
+            for work in self.works.values()
+            if not work.first_token_seen
+        )
+        prefill = (backlog + ask.prompt_tokens - cached) / (
+            self._pool.prefill_tokens_per_s
+        )
+        streams = max(len(self.works), self.reported_running)
+        step_ms = (
+            self._pool.step_base_ms + self._pool.step_per_stream_ms * streams
+        )
+        nominal = max(prefill + step_ms / _MS_PER_S, _MIN_PREDICTION_S)
+        return nominal * self.slowdown
+
+    def add_work(self, work: Work, ask: Ask, now: float) -> None:
+        """Give a slot to a request."""
+        work.runner = self.name
+        work.granted_at = now
+        work.predicted_s = self.predict_first_token_s(ask) / self.slowdown
+        self.works[work.request_id] = work
+        if self.suspect:
+            self._probing = work.request_id
+        if ask.prefix:
+            self._remember_prefix(ask.prefix, ask.prefix_tokens)
+
+    def remove_work(self, request_id: str) -> Work | None:
+        """Free the slot of a request."""
+        if self._probing == request_id:
+            self._probing = ''
+        return self.works.pop(request_id, None)
+
+    def note_first_token(self, work: Work, first_token_s: float) -> None:
+        """Compare the first token's time with its prediction."""
+        if work.first_token_seen:
+            return
+        work.first_token_seen = True
+        self._note_ratio(first_token_s / work.predicted_s)
+
+    def note_gap(self, gap_s: float, now: float) -> None:
+        """Compare the longest gap of a stream with the expected step time."""
+        step_ms = self._pool.step_base_ms + (
+            self._pool.step_per_stream_ms * len(self.works)
+        )
+        backlog = sum(
+            work.prefill_tokens
+            for work in self.works.values()
+            if not work.first_token_seen
+        )
+        prefill_s = backlog / self._pool.prefill_tokens_per_s
+        expected = step_ms / _MS_PER_S + prefill_s
+        if gap_s > 0 and expected > 0:
+            self._note_ratio(gap_s / expected)
+        if self.suspect and self._probe_at < now:
+            self._probe_at = now + _STRAGGLER_PROBE_S
+
+    def note_failure(self, now: float) -> None:
+        """Stop granting until a probe succeeds."""
+        self._failures += 1
+        pause = _PROBE_MIN_S * 2 ** min(self._failures - 1, 10)
+        self._probe_at = now + min(pause, _PROBE_MAX_S)
+
+    def note_success(self) -> None:
+        """Trust the runner again."""
+        self._failures = 0
+
+    def _has_room_for_long(self, work: Work) -> bool:
+        long_slots = self._pool.long_slots
+        if long_slots is None:
+            long_slots = max(1, self._pool.slots * 3 // 4)
+        others = [other for other in self.works.values() if other.long]
+        prefill = sum(
+            other.prefill_tokens
+            for other in others
+            if not other.first_token_seen
+        )
+        if prefill and (
+            prefill + work.prefill_tokens > self._pool.long_prefill_tokens
+        ):
+            return False
+        return len(others) < long_slots
+
+    def _note_ratio(self, ratio: float) -> None:
+        kept = (1 - _SLOWDOWN_WEIGHT) * self.slowdown
+        self.slowdown = max(1.0, kept + _SLOWDOWN_WEIGHT * ratio)
+
+    def _remember_prefix(self, prefix: str, tokens: int) -> None:
+        self._prefixes.pop(prefix, None)
+        self._prefixes[prefix] = tokens
+        if len(self._prefixes) > _PREFIXES_KEPT:
+            self._prefixes.popitem(last=False)
--- /dev/null
+++ b/src/anvilhall/shard.py
@@ -0,0 +1,397 @@
+"""The owner's side of one shard: the runners of one pool in one domain.
+
+No input or output and no clock: callers pass the time in, and get back the
+actions to carry out.
+"""
+
+import datetime as dt
+from collections.abc import Iterable
+
+import msgspec
+
+from anvilhall import defaults
+from anvilhall.admission import Admission
+from anvilhall.exceptions import (
+    DeadlinePassed,
+    NoRunner,
+    Overloaded,
+    RequestRefused,
+    UnknownClass,
+)
+from anvilhall.messages import (
+    Ask,
+    Grant,
+    Held,
+    Pause,
+    Progress,
+    Refusal,
+    Release,
+)
+from anvilhall.queues import ClassQueue, PoolQueue, Waiting
+from anvilhall.runners import Runner, Work
+from anvilhall.schedules import is_active
+from anvilhall.settings import ClassSettings, Pool
+from anvilhall.tree import Tree
+
+
+class Seat(msgspec.Struct, frozen=True):
+    """A live runner as the membership list names it."""
+
+    name: str
+    address: str
+    leaving: bool = False
+
+
+class Action(msgspec.Struct, frozen=True):
+    """A message for an entry instance."""
+
+    instance: str
+    message: Grant | Refusal | Pause
+
+
+class Shard:
+    """Queue, slot accounts and limits of one pool in one failure domain."""
+
+    __slots__ = (
+        '_admission',
+        '_pool',
+        '_pool_name',
+        '_queue',
+        '_senders',
+        '_tree',
+        'paused',
+        'runners',
+        'share',
+    )
+
+    def __init__(self, pool_name: str, tree: Tree) -> None:
+        """Start with no runners."""
+        self._pool_name = pool_name
+        self.runners: dict[str, Runner] = {}
+        self._queue = PoolQueue()
+        self._admission = Admission()
+        self._senders: dict[str, str] = {}
+        self.paused: set[str] = set()
+        #: Share of the slots that this shard may use, in (0, 1].
+        self.share = 1.0
+        self.set_tree(tree)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def running_count(self) -> int:
+        """Number of requests on runners."""
+        return sum(len(runner.works) for runner in self.runners.values())
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request that came now would be granted now."""
+        if self.waiting_count:
+            return False
+        slots = self._slots
+        return any(
+            len(runner.works) < slots and not runner.leaving
+            for runner in self.runners.values()
+        )
+
+    def set_tree(self, tree: Tree) -> None:
+        """Take over changed settings."""
+        self._tree = tree
+        self._pool: Pool = tree.pools[self._pool_name]
+        self._admission.set_tree(tree)
+        for runner in self.runners.values():
+            runner.set_pool(self._pool)
+
+    def set_runners(self, seats: Iterable[Seat]) -> None:
+        """Take over the membership list's view of the pool in this domain."""
+        wanted = {seat.name: seat for seat in seats}
+        for name in list(self.runners):
+            if name not in wanted:
+                self.runners[name].leaving = True
+                if not self.runners[name].works:
+                    self.runners.pop(name)
+        for seat in wanted.values():
+            runner = self.runners.get(seat.name)
+            if runner is None or runner.address != seat.address:
+                runner = Runner(seat.name, seat.address, self._pool)
+                self.runners[seat.name] = runner
+            runner.leaving = seat.leaving
+
+    def submit(self, sender: str, ask: Ask, now: float) -> list[Action]:
+        """Take in a request; shed one if the queue is full.
+
+        :param sender: instance that asks.
+        :param now: monotonic seconds.
+        :return: the request's refusal, or another's that makes room for it.
+        """
+        if ask.request_id in self._senders:
+            return self._repeat_answer(sender, ask)
+        try:
+            settings = self._check(ask, now)
+            dropped = self._make_room(settings)
+        except RequestRefused as error:
+            return [_refuse(sender, ask.request_id, error)]
+        self._senders[ask.request_id] = sender
+        expires_at = now + ask.deadline_s
+        waiting = Waiting(ask, settings, expires_at, sender)
+        weight = self._admission.get_weight(ask.account)
+        self._queue.push(waiting, weight, now)
+        self._admission.admit(ask)
+        if dropped is None:
+            return []
+        self._forget(dropped.ask)
+        shed = Overloaded('shed for a request of a higher tier', 1.0)
+        return [_refuse(dropped.sender, dropped.ask.request_id, shed)]
+
+    def dispatch(self, now: float, wall: dt.datetime) -> list[Action]:
+        """Grant runners to as many waiting requests as fit."""
+        actions = self._refuse_expired(now)
+        while True:
+            action = self._grant_next(now, wall)
+            if action is None:
+                return actions + self._pause_for_waiting(now)
+            actions.append(action)
+
+    def list_waiting(self) -> list[tuple[str, str]]:
+        """Return sender and identifier of each waiting request."""
+        return [
+            (waiting.sender, waiting.ask.request_id) for waiting in self._queue
+        ]
+
+    def withdraw(self, request_id: str) -> bool:
+        """Take a request off the queue; return whether it was waiting."""
+        waiting = self._queue.remove(request_id)
+        if waiting:
+            self._forget(waiting.ask)
+        return waiting is not None
+
+    def note_progress(self, progress: Progress, now: float) -> None:
+        """Learn from a running request."""
+        found = self._find_work(progress.request_id)
+        if found is None:
+            return
+        runner, work = found
+        work.tokens = progress.tokens
+        work.long = work.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
+        if progress.first_token_s:
+            runner.note_first_token(work, progress.first_token_s)
+        runner.note_gap(progress.gap_s, now)
+
+    def release(self, release: Release, now: float) -> None:
+        """Free the runner of a request that ended, or take it off the queue."""
+        self.withdraw(release.request_id)
+        found = self._find_work(release.request_id)
+        if found is None:
+            return
+        runner, work = found
+        if release.first_token_s:
+            runner.note_first_token(work, release.first_token_s)
+        if release.failure:
+            runner.note_failure(now)
+        elif release.served:
+            runner.note_success()
+        runner.remove_work(release.request_id)
+        self._leave(work.request_id, work.account, work.class_name)
+        if runner.leaving and not runner.works:
+            self.runners.pop(runner.name, None)
+
+    def adopt(self, sender: str, held: Held, now: float) -> None:
+        """Take over a request that was granted by an earlier owner."""
+        runner = self.runners.get(held.runner)
+        if runner is None or held.request_id in runner.works:
+            return
+        work = Work(held.request_id, held.class_name, held.account)
+        work.prefill_tokens = held.prompt_tokens
+        work.tokens = held.tokens
+        work.first_token_seen = held.tokens > 0
+        work.long = held.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
+        settings = self._tree.classes.get(held.class_name)
+        work.tier = settings.tier if settings else 0
+        work.runner = runner.name
+        work.granted_at = now
+        work.predicted_s = 1.0
+        runner.works[held.request_id] = work
+        self._senders[held.request_id] = sender
+        self._admission.adopt(held.account, held.class_name)
+
+    def drop_sender(self, sender: str) -> None:
+        """Forget all requests of an instance that is gone."""
+        for request_id, owner in list(self._senders.items()):
+            if owner == sender:
+                ended = Release(
+                    pool=self._pool_name,
+                    request_id=request_id,
+                    served=False,
+                )
+                self.release(ended, 0)
+
+    def _repeat_answer(self, sender: str, ask: Ask) -> list[Action]:
+        """Answer an ask that was sent again because a link broke."""
+        self._senders[ask.request_id] = sender
+        found = self._find_work(ask.request_id)
+        if found is None:
+            return []
+        runner, work = found
+        return [Action(sender, self._build_grant(runner, work))]
+
+    def _build_grant(self, runner: Runner, work: Work) -> Grant:
+        return Grant(
+            pool=self._pool_name,
+            request_id=work.request_id,
+            runner=runner.name,
+            address=runner.address,
+            tier=work.tier,
+        )
+
+    def _check(self, ask: Ask, now: float) -> ClassSettings:
+        settings = self._tree.classes.get(ask.class_name)
+        if settings is None:
+            raise UnknownClass(f'no class named {ask.class_name!r}')
+        if not any(not runner.leaving for runner in self.runners.values()):
+            raise NoRunner(f'no live runner of {self._pool_name}', 1.0)
+        self._admission.check(ask, settings, now)
+        return settings
+
+    def _make_room(self, settings: ClassSettings) -> Waiting | None:
+        if len(self._queue) < self._pool.queue_limit:
+            return None
+        dropped = self._queue.drop_lowest(settings.tier)
+        if dropped is None:
+            raise Overloaded(retry_after_s=1.0)
+        return dropped
+
+    def _refuse_expired(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for request_id in self._queue.find_expired(now):
+            waiting = self._queue.remove(request_id)
+            if waiting:
+                self._forget(waiting.ask)
+                error = DeadlinePassed()
+                actions.append(_refuse(waiting.sender, request_id, error))
+        return actions
+
+    def _grant_next(self, now: float, wall: dt.datetime) -> Action | None:
+        for queue in self._queue.list_turns(now):
+            waiting = queue.peek()
+            work = _describe_work(waiting)
+            runner = self._place(waiting, work, now, wall)
+            if runner:
+                return self._grant(queue, runner, work, now)
+        return None
+
+    def _place(
+        self,
+        waiting: Waiting,
+        work: Work,
+        now: float,
+        wall: dt.datetime,
+    ) -> Runner | None:
+        spare = self._count_spare_slots(work.tier, wall)
+        spare += self._pool.slots - self._slots
+        fitting = [
+            runner
+            for runner in self.runners.values()
+            if runner.can_take(work, spare, now)
+        ]
+        preferred = [
+            runner for runner in fitting if runner.name not in waiting.ask.avoid
+        ]
+        candidates = preferred or fitting
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda runner: runner.predict_first_token_s(waiting.ask),
+        )
+
+    def _grant(
+        self,
+        queue: ClassQueue,
+        runner: Runner,
+        work: Work,
+        now: float,
+    ) -> Action:
+        waiting = self._queue.pop(queue, now)
+        runner.add_work(work, waiting.ask, now)
+        grant = self._build_grant(runner, work)
+        return Action(waiting.sender, grant)
+
+    def _pause_for_waiting(self, now: float) -> list[Action]:
+        """Ask the lowest preemptible request to yield to a waiting tier 0."""
+        turns = self._queue.list_turns(now)
+        if not turns:
+            return []
+        tier = min(queue.settings.tier for queue in turns)
+        victims = [
+            work
+            for runner in self.runners.values()
+            for work in runner.works.values()
+            if work.tier > tier and self._may_pause(work)
+        ]
+        if not victims or self.paused:
+            return []
+        victim = max(victims, key=_get_victim_order)
+        self.paused.add(victim.request_id)
+        sender = self._senders.get(victim.request_id, '')
+        return [Action(sender, Pause(victim.request_id))]
+
+    def _may_pause(self, work: Work) -> bool:
+        settings = self._tree.classes.get(work.class_name)
+        if settings is None:
+            return False
+        return settings.preemptible and settings.resumable
+
+    def _count_spare_slots(self, tier: int, wall: dt.datetime) -> int:
+        schedules = self._tree.schedules if self._pool.reserves else {}
+        return sum(
+            reserve.slots_per_runner
+            for reserve in self._pool.reserves
+            if tier > reserve.tier
+            and is_active(schedules[reserve.schedule], wall)
+        )
+
+    @property
+    def _slots(self) -> int:
+        return max(1, int(self._pool.slots * self.share))
+
+    def _find_work(self, request_id: str) -> tuple[Runner, Work] | None:
+        for runner in self.runners.values():
+            work = runner.works.get(request_id)
+            if work:
+                return runner, work
+        return None
+
+    def _forget(self, ask: Ask) -> None:
+        self._leave(ask.request_id, ask.account, ask.class_name)
+
+    def _leave(self, request_id: str, account: str, class_name: str) -> None:
+        self.paused.discard(request_id)
+        self._senders.pop(request_id, None)
+        self._admission.leave(account, class_name)
+
+
+def _describe_work(waiting: Waiting) -> Work:
+    ask = waiting.ask
+    work = Work(ask.request_id, ask.class_name, ask.account)
+    work.tier = waiting.class_settings.tier
+    work.prefill_tokens = ask.prompt_tokens
+    work.long = ask.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
+    return work
+
+
+def _get_victim_order(work: Work) -> tuple[int, float]:
+    # The lowest tier first, and of it the one with the least work to redo.
+    return work.tier, -work.prefill_tokens - work.tokens
+
+
+def _refuse(sender: str, request_id: str, error: RequestRefused) -> Action:
+    refusal = Refusal(
+        request_id=request_id,
+        code=error.code,
+        reason=error.reason,
+        retry_after_s=error.retry_after_s,
+    )
+    return Action(sender, refusal)
--- /dev/null
+++ b/src/anvilhall/tree.py
@@ -0,0 +1,197 @@
+"""The settings tree as a whole: inheritance, cross-checks and look-ups."""
+
+import hashlib
+import zoneinfo
+from collections.abc import Iterator, Mapping
+
+from anvilhall.exceptions import ClassNotAllowed, UnknownAccount, UnknownClass
+from anvilhall.settings import (
+    ROOT,
+    Account,
+    ClassSettings,
+    Fault,
+    Guards,
+    JsonObject,
+    Pool,
+    Schedule,
+    SettingsFaulty,
+    TeamNode,
+    convert_class,
+    merge_fields,
+)
+
+
+class Holder:
+    """A client account with its name and team."""
+
+    __slots__ = ('account', 'name', 'team')
+
+    def __init__(self, name: str, team: str, account: Account) -> None:
+        """Keep the account with its place in the tree."""
+        self.name = name
+        self.team = team
+        self.account = account
+
+
+class Tree:
+    """All teams' settings, merged and checked.
+
+    :param nodes: each team's part by its path.
+    :raises SettingsFaulty: with every fault found.
+    """
+
+    __slots__ = ('_class_paths', '_holders', 'classes', 'nodes', 'pools')
+
+    def __init__(self, nodes: Mapping[str, TeamNode]) -> None:
+        """Resolve inheritance and check references."""
+        self.nodes = dict(nodes)
+        self.classes: dict[str, ClassSettings] = {}
+        self._class_paths: dict[str, str] = {}
+        self.pools: dict[str, Pool] = {}
+        self._holders: dict[str, Holder] = {}
+        faults = list(self._fill())
+        if faults:
+            raise SettingsFaulty(faults)
+
+    @property
+    def guards(self) -> Guards:
+        """Limits of every instance."""
+        root = self.nodes.get(ROOT)
+        return root.guards if root else Guards()
+
+    @property
+    def schedules(self) -> dict[str, Schedule]:
+        """All schedules by name."""
+        found: dict[str, Schedule] = {}
+        for node in self.nodes.values():
+            found.update(node.schedules)
+        return found
+
+    def get_holder(self, key: str) -> Holder:
+        """Return the client account that a key belongs to.
+
+        :raises UnknownAccount: if no account has the key.
+        """
+        holder = self._holders.get(hash_key(key))
+        if holder is None:
+            raise UnknownAccount()
+        return holder
+
+    def choose_class(self, holder: Holder, named: str, path: str) -> str:
+        """Return the class of a request.
+
+        :param named: class in the caller's header, or empty.
+        :param path: path of the caller's request.
+        :raises UnknownClass: if there is none.
+        :raises ClassNotAllowed: if the account may not use it.
+        """
+        chosen = named or self._match_path(holder, path)
+        if chosen not in self.classes:
+            raise UnknownClass(f'no class named {chosen!r}')
+        if not self._may_use(holder, chosen):
+            raise ClassNotAllowed(f'{holder.name} may not use {chosen}')
+        return chosen
+
+    def _match_path(self, holder: Holder, path: str) -> str:
+        for name, settings in self.classes.items():
+            if path in settings.paths and self._may_use(holder, name):
+                return name
+        return holder.account.default_class or ''
+
+    def _may_use(self, holder: Holder, class_name: str) -> bool:
+        if holder.account.classes:
+            return class_name in holder.account.classes
+        return _is_within(self._class_paths[class_name], holder.team)
+
+    def _fill(self) -> Iterator[Fault]:
+        for path, node in sorted(self.nodes.items()):
+            yield from self._fill_pools(path, node)
+            yield from self._fill_classes(path, node)
+            yield from self._fill_accounts(path, node)
+        yield from self._check_references()
+
+    def _fill_pools(self, path: str, node: TeamNode) -> Iterator[Fault]:
+        for name, pool in node.pools.items():
+            if name in self.pools:
+                yield Fault(path=f'/{path}.pools.{name}', reason='stands twice')
+            self.pools[name] = pool
+        for title, schedule in node.schedules.items():
+            if schedule.timezone not in zoneinfo.available_timezones():
+                yield Fault(
+                    path=f'/{path}.schedules.{title}.timezone',
+                    reason=f'unknown time zone {schedule.timezone!r}',
+                )
+
+    def _fill_classes(self, path: str, node: TeamNode) -> Iterator[Fault]:
+        inherited = self._inherit_defaults(path)
+        probe = merge_fields({'pool': ''}, inherited)
+        yield from _collect_faults(probe, f'{path}.class_defaults')
+        for name, fields in node.classes.items():
+            place = f'{path}.classes.{name}'
+            if name in self.classes:
+                yield Fault(path=f'/{place}', reason='stands twice')
+            merged = merge_fields(inherited, fields)
+            faults = _collect_faults(merged, place)
+            yield from faults
+            if not faults:
+                self.classes[name] = convert_class(merged, place)
+                self._class_paths[name] = path
+
+    def _inherit_defaults(self, path: str) -> JsonObject:
+        merged: JsonObject = {}
+        for ancestor in _list_ancestors(path):
+            node = self.nodes.get(ancestor)
+            if node:
+                merged = merge_fields(merged, node.class_defaults)
+        return merged
+
+    def _fill_accounts(self, path: str, node: TeamNode) -> Iterator[Fault]:
+        for name, account in node.accounts.items():
+            for digest in account.key_sha256:
+                if digest in self._holders:
+                    yield Fault(
+                        path=f'/{path}.accounts.{name}.key_sha256',
+                        reason='another account has the same key',
+                    )
+                self._holders[digest] = Holder(name, path, account)
+
+    def _check_references(self) -> Iterator[Fault]:
+        for name, settings in self.classes.items():
+            place = f'/{self._class_paths[name]}.classes.{name}.pool'
+            if settings.pool not in self.pools:
+                reason = f'no pool named {settings.pool!r}'
+                yield Fault(path=place, reason=reason)
+        schedules = self.schedules
+        for title, pool in self.pools.items():
+            for reserve in pool.reserves:
+                if reserve.schedule not in schedules:
+                    yield Fault(
+                        path=f'/.pools.{title}.reserves',
+                        reason=f'no schedule named {reserve.schedule!r}',
+                    )
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which the settings hold an account key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _collect_faults(raw: JsonObject, place: str) -> list[Fault]:
+    try:
+        convert_class(raw, place)
+    except SettingsFaulty as error:
+        return error.faults
+    return []
+
+
+def _list_ancestors(path: str) -> Iterator[str]:
+    yield ROOT
+    parts = path.split('/') if path else []
+    for depth in range(1, len(parts) + 1):
+        yield '/'.join(parts[:depth])
+
+
+def _is_within(path: str, ancestor: str) -> bool:
+    if ancestor == ROOT or path == ROOT:
+        return True
+    return f'{path}/'.startswith(f'{ancestor}/')
--- /dev/null
+++ b/src/anvilhall_standins/logserver.py
@@ -0,0 +1,170 @@
+"""Stand-in for the platform's log service.
+
+Faults: ``outage`` refuses everything; ``slow`` delays everything by its amount
+in seconds; ``lose_answer`` closes that many connections after the append took
+effect.
+"""
+
+import asyncio
+from typing import Any
+
+import click
+import msgspec
+from tornado.web import Application, RequestHandler
+
+from anvilhall_standins.serving import (
+    FaultHandler,
+    Faults,
+    log_nothing,
+    serve_until_signal,
+    write_json,
+)
+
+_UNAVAILABLE = 503
+_GONE = 410
+#: Records returned by one read at most.
+_PAGE_SIZE = 500
+
+
+class Stream:
+    """Records in memory, of which the oldest may have been dropped."""
+
+    __slots__ = ('arrived', 'records', 'start')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.records: list[Any] = []
+        #: Offset of the oldest record kept.
+        self.start = 0
+        self.arrived = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Offset after the last record."""
+        return self.start + len(self.records)
+
+    def append(self, record: Any, keep: int) -> int:
+        """Add a record, drop the oldest beyond ``keep``, return its offset."""
+        self.records.append(record)
+        surplus = len(self.records) - keep
+        if surplus > 0:
+            self.records = self.records[surplus:]
+            self.start += surplus
+        self.arrived.set()
+        self.arrived = asyncio.Event()
+        return self.end - 1
+
+    def read(self, offset: int) -> list[dict[str, Any]]:
+        """Return records from an offset on."""
+        first = offset - self.start
+        page = self.records[first : first + _PAGE_SIZE]
+        return [
+            {'offset': offset + place, 'body': record}
+            for place, record in enumerate(page)
+        ]
+
+
+class Store:
+    """All streams."""
+
+    __slots__ = ('appends', 'faults', 'keep', 'streams')
+
+    def __init__(self, keep: int) -> None:
+        """Start empty; keep that many records of each stream."""
+        self.keep = keep
+        self.appends = 0
+        self.faults = Faults()
+        self.streams: dict[str, Stream] = {}
+
+    def get_stream(self, name: str) -> Stream:
+        """Return a stream, made on first use."""
+        return self.streams.setdefault(name, Stream())
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store: Store) -> None:
+        self._store = store
+
+    async def prepare(self) -> None:
+        if self._store.faults.get('outage'):
+            self.set_status(_UNAVAILABLE)
+            self.finish()
+            return
+        await asyncio.sleep(self._store.faults.get('slow'))
+
+
+class StreamHandler(_StoreHandler):
+    """Appends to and reads from one stream."""
+
+    async def get(self, name: str) -> None:
+        """Read from the offset in ``from``, waiting up to ``wait_s``."""
+        offset = int(self.get_argument('from'))
+        stream = self._store.get_stream(name)
+        if offset < stream.start:
+            self.set_status(_GONE)
+            self.finish()
+            return
+        if offset >= stream.end:
+            await self._wait(stream)
+        page = {'records': stream.read(offset), 'end': stream.end}
+        write_json(self, page)
+
+    def post(self, name: str) -> None:
+        """Append the record in the body."""
+        record = msgspec.json.decode(self.request.body)
+        stream = self._store.get_stream(name)
+        offset = stream.append(record, self._store.keep)
+        self._store.appends += 1
+        if self._store.faults.spend('lose_answer'):
+            self.request.connection.detach().close()  # type: ignore[union-attr]
+            return
+        write_json(self, {'offset': offset})
+
+    async def _wait(self, stream: Stream) -> None:
+        wait_s = float(self.get_argument('wait_s', '0'))
+        try:
+            await asyncio.wait_for(stream.arrived.wait(), wait_s)
+        except TimeoutError:
+            return
+
+
+class StartHandler(_StoreHandler):
+    """Tells the oldest offset of a stream."""
+
+    def get(self, name: str) -> None:
+        """Answer with the offset."""
+        write_json(self, {'offset': self._store.get_stream(name).start})
+
+
+class CountHandler(_StoreHandler):
+    """Tells how many appends were taken."""
+
+    def get(self) -> None:
+        """Answer with the number."""
+        write_json(self, {'appends': self._store.appends})
+
+
+def build_log_app(store: Store) -> Application:
+    """Return the application of the log service."""
+    arguments = {'store': store}
+    return Application(
+        [
+            ('/streams/([^/]+)', StreamHandler, arguments),
+            ('/streams/([^/]+)/start', StartHandler, arguments),
+            ('/appends', CountHandler, arguments),
+            ('/fault', FaultHandler, {'faults': store.faults}),
+        ],
+        log_function=log_nothing,
+    )
+
+
+@click.command()
+@click.option('--port', type=int, required=True)
+@click.option('--keep', type=int, default=100_000, show_default=True)
+def run_log(port: int, keep: int) -> None:
+    """Run the log service on loopback."""
+    asyncio.run(serve_until_signal(build_log_app(Store(keep)), port))
+
+
+if __name__ == '__main__':
+    run_log()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,51 @@
+"""Fixtures shared by all tests."""
+
+import datetime as dt
+
+import pytest
+
+from anvilhall.clock import ManualClock
+from anvilhall.settings import TeamNode, decode_node
+from anvilhall.tree import Tree, hash_key
+
+START = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that stands still."""
+    return ManualClock(START)
+
+
+@pytest.fixture
+def root_json() -> dict[str, object]:
+    """Return the root of a settings tree with one pool of each kind."""
+    return {
+        'pools': {
+            'chat': {'wire': 'chat-completions', 'slots': 2, 'queue_limit': 4},
+            'desk': {'wire': 'plain-http', 'slots': 4},
+        },
+        'classes': {
+            'quick': {'pool': 'chat', 'tier': 0},
+            'draft': {'pool': 'chat', 'tier': 1},
+            'bulk': {'pool': 'chat', 'tier': 2, 'preemptible': True},
+            'order': {'pool': 'desk', 'idempotent': False},
+            'lookup': {'pool': 'desk', 'tier': 1},
+        },
+        'accounts': {
+            'ann': {'key_sha256': [hash_key('ann')], 'default_class': 'quick'},
+            'bob': {'key_sha256': [hash_key('bob')], 'default_class': 'quick'},
+        },
+    }
+
+
+@pytest.fixture
+def root(root_json: dict[str, object]) -> TeamNode:
+    """Return the checked root."""
+    return decode_node(root_json, '')
+
+
+@pytest.fixture
+def tree(root: TeamNode) -> Tree:
+    """Return a tree that consists of the root."""
+    return Tree({'': root})
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,84 @@
+"""Publications race the same way everywhere and never revert."""
+
+import itertools
+
+from anvilhall.publication import Publication, SettingsState
+
+Records = list[tuple[int, Publication]]
+
+
+def _publish(name, based_on, deadline_s, team='shop'):
+    node = {'class_defaults': {'deadline_s': deadline_s}}
+    return Publication(id=name, team=team, based_on=based_on, node=node)
+
+
+def test_race_has_one_winner_everywhere():
+    records = list(enumerate((_publish('a', 0, 10), _publish('b', 0, 20))))
+    for _ in range(3):
+        state = SettingsState()
+        verdicts = [state.fold(*record)[0] for record in records]
+        assert [verdict.accepted for verdict in verdicts] == [True, False]
+        assert verdicts[1].code == 'version_conflict'
+        assert state.teams['shop'].node == records[0][1].node
+
+
+def test_repeated_record_changes_nothing():
+    state = SettingsState()
+    record = _publish('a', 0, 10)
+    state.fold(0, record)
+    assert not state.fold(0, record)
+    assert state.get_version('shop') == 1
+
+
+def test_faulty_publication_is_refused_with_its_place():
+    state = SettingsState()
+    node = {'classes': {'quick': {'pool': 'nowhere'}}}
+    record = Publication(id='a', team='shop', based_on=0, node=node)
+    verdict = state.fold(0, record)[0]
+    assert verdict.code == 'settings_faulty'
+    assert '/shop.classes.quick.pool' in verdict.reason
+    assert state.version == -1
+
+
+def test_late_reader_joins_by_snapshot():
+    first = SettingsState()
+    records = [_publish('a', 0, 10), _publish('b', 1, 20)]
+    for offset, record in enumerate(records):
+        first.fold(offset, record)
+    snapshot = first.take_snapshot()
+    later = _publish('c', 2, 30)
+    # The snapshot covers offset 1 and stands at offset 3, behind a later one.
+    stream = [(2, later), (3, snapshot), (4, _publish('d', 3, 40))]
+    for offset, record in stream:
+        first.fold(offset, record)
+    late = SettingsState()
+    late.skip_to(2)
+    assert late.next_offset == 2
+    for offset, record in stream:
+        late.fold(offset, record)
+    assert late.take_snapshot() == first.take_snapshot()
+    assert late.get_version('shop') == 4
+
+
+def test_older_snapshot_never_reverts():
+    state = SettingsState()
+    state.fold(0, _publish('a', 0, 10))
+    old = state.take_snapshot()
+    state.fold(1, _publish('b', 1, 20))
+    assert not state.restore(old)
+    assert state.version == 1
+
+
+def test_every_order_of_arrival_ends_the_same():
+    records = [
+        (0, _publish('a', 0, 10)),
+        (1, _publish('b', 0, 20)),
+        (2, _publish('c', 1, 30)),
+    ]
+    ends = set()
+    for order in itertools.permutations(records):
+        state = SettingsState()
+        for offset, record in order:
+            state.fold(offset, record)
+        ends.add((state.version, state.get_version('shop')))
+    assert ends == {(2, 2)}
