Answer bad input truly and make spoilt answers whole

Cause: tests of bad input showed three faults. A chat call with a class of a plain service ended in an untyped 500; an answer whose last event was missing was continued by another engine and got words too many; the head of a refused request did not announce that the connection closes, so clients reused it.

Ruled out: that the engine's stand-in miscounts (the surplus word came from max_tokens being raised to 1 for the continuation).

An in-process cluster for tests.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import uuid
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from anvilhall.jobs import ChatBody, Job
 from anvilhall.outbound import Reply
 from anvilhall.tree import Holder
+from anvilhall.upstreams import WIRES
 
 CLASS_HEADER = 'Anvilhall-Class'
 DEADLINE_HEADER = 'Anvilhall-Deadline-Seconds'
@@ -116,6 +118,13 @@
             self._admitted = False
             self.context.gate.leave()
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer with a typed error when tornado or a fault ends a request."""
+        error = AnvilhallError()
+        if status_code == HTTPStatus.METHOD_NOT_ALLOWED:
+            error = UnknownPath('no such method at this path')
+        self.refuse(error)
+
     def refuse(self, error: AnvilhallError) -> None:
         """Answer with an error and end the request."""
         self.context.gate.count_error(error, self._class_name)
@@ -371,6 +380,8 @@
     def _build_chat_job(self) -> Job:
         self.check_body()
         job = self.build_job('')
+        if not WIRES.get(job.pool.wire).streams:
+            raise UnknownPath(f'class {job.class_name} serves no chat')
         job.chat = ChatBody.from_body(job.body)
         return job
 
@@ -415,7 +426,8 @@
         if self.request.query:
             path = f'{rest}?{self.request.query}'
         job = self.build_job(path)
-        if job.settings.pool != name:
+        streams = WIRES.get(job.pool.wire).streams
+        if job.settings.pool != name or streams:
             raise UnknownPath(
                 f'class {job.class_name} is served by {job.settings.pool}, '
                 f'not by {name}',
--- a/src/anvilhall/events.py
+++ b/src/anvilhall/events.py
@@ -49,11 +49,12 @@
 class EventReader:
     """Cuts a body into runs of whole events and watches for its end."""
 
-    __slots__ = ('_tail', 'done', 'events')
+    __slots__ = ('_last_run', '_tail', 'done', 'events')
 
     def __init__(self) -> None:
         """Start before the first byte."""
         self._tail = b''
+        self._last_run = b''
         #: Whether the event that ends the answer has been read.
         self.done = False
         #: Events read, without the one that ends the answer.
@@ -77,8 +78,15 @@
         run = chunk[:end]
         if run:
             self._inspect(run)
+            self._last_run = run
         return run
 
+    def is_finished(self) -> bool:
+        """Return whether the last event read states why the answer ended."""
+        events = self._last_run.split(SEPARATOR)
+        last = _decode_event(events[-2]) if len(events) > 1 else _Chunk()
+        return any(choice.finish_reason for choice in last.choices)
+
     def _inspect(self, run: bytes) -> None:
         events = run.count(SEPARATOR)
         if run.count(b'\n\ndata:') != events - 1 or not run.startswith(_DATA):
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -8,7 +8,12 @@
 from anvilhall.broker import Broker
 from anvilhall.claims import ClaimKeeper
 from anvilhall.clock import Clock
-from anvilhall.events import Answer, EventReader, decode_answer
+from anvilhall.events import (
+    DONE_EVENT,
+    Answer,
+    EventReader,
+    decode_answer,
+)
 from anvilhall.exceptions import (
     AnswerCut,
     AnvilhallError,
@@ -352,11 +357,12 @@
                 head.take_line,
             )
         except (UpstreamCut, UpstreamRefused, UpstreamStalled) as error:
-            self._raise_unless_done(problems, error)
-            return
+            failure: AnvilhallError | None = self._name_stall(error)
+        else:
+            failure = _judge_reply(reply)
         finally:
             timer.cancel()
-        self._judge_end(reply, problems)
+        self._judge_end(problems, failure, pass_on)
 
     def close(self) -> None:
         """Give the grant back; cancel what may still run."""
@@ -401,29 +407,21 @@
         )
         self._gap_s = 0.0
 
-    def _raise_unless_done(
-        self,
-        problems: list[AnvilhallError],
-        error: AnvilhallError,
-    ) -> None:
-        if problems:
-            raise problems[0]
-        if not self._events.done:
-            raise self._name_stall(error)
-
     def _judge_end(
         self,
-        reply: Reply,
         problems: list[AnvilhallError],
+        failure: AnvilhallError | None,
+        pass_on: '_PassOn',
     ) -> None:
         if problems:
             raise problems[0]
-        if reply.status in _REFUSAL_STATUSES:
-            raise UpstreamRefused(f'the engine answered {reply.status}')
-        if reply.status != _HTTP_OK:
-            raise UpstreamGarbled(f'the engine answered {reply.status}')
-        if not self._events.done:
-            raise UpstreamCut('the stream ended before the answer did')
+        if self._events.done:
+            return
+        if self._events.is_finished():
+            # All the text has come; only the event that ends it is missing.
+            pass_on(DONE_EVENT)
+            return
+        raise failure or UpstreamCut('the stream ended before the answer did')
 
     def _watch(self) -> '_Watchdog':
         return _Watchdog(self, self._job)
@@ -495,6 +493,14 @@
             self.status = int(line.split()[1])
 
 
+def _judge_reply(reply: Reply) -> AnvilhallError | None:
+    if reply.status in _REFUSAL_STATUSES:
+        return UpstreamRefused(f'the engine answered {reply.status}')
+    if reply.status != _HTTP_OK:
+        return UpstreamGarbled(f'the engine answered {reply.status}')
+    return None
+
+
 def _blame_runner(error: AnvilhallError) -> str:
     if isinstance(error, RunUncertain | UpstreamRefused):
         return error.code
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,240 @@
+"""Instances and stand-ins on loopback, all on the loop of one test."""
+
+import asyncio
+import contextlib
+import socket
+
+import msgspec
+from tornado.httpserver import HTTPServer
+
+from anvilhall.clock import SystemClock
+from anvilhall.events import decode_answer
+from anvilhall.exceptions import AnvilhallError
+from anvilhall.instance import Instance
+from anvilhall.local import Listen, LocalConfig, Platform, Timings
+from anvilhall.outbound import Call, Outbound, Transfer
+from anvilhall.publication import Publication
+from anvilhall_standins.engine import (
+    ChatRequest,
+    Engine,
+    EngineModel,
+    build_engine_app,
+    make_word,
+    read_prompt,
+)
+from anvilhall_standins.listserver import Entry, Listing, build_list_app
+from anvilhall_standins.logserver import Store, build_log_app
+from anvilhall_standins.service import Book, build_service_app
+from anvilhall_standins.serving import Fault
+
+WAIT_S = 10.0
+FAST_ENGINE = EngineModel(
+    slots=2,
+    prefill_tokens_per_s=1e6,
+    step_base_ms=10,
+    step_per_stream_ms=0,
+)
+TIMINGS = Timings(
+    membership_interval_s=0.1,
+    heartbeat_interval_s=0.1,
+    suspect_after_s=0.5,
+    remove_after_s=1.0,
+    claim_timeout_s=1.0,
+    drain_timeout_s=10.0,
+)
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Cluster:
+    """The platform, upstreams and instances of one test."""
+
+    def __init__(self):
+        self.store = Store(100_000)
+        self.listing = Listing([], 0)
+        self.engines = {}
+        self.books = {}
+        self.instances = {}
+        self.ports = {}
+        self.client = Outbound(500)
+        self._servers = {}
+        self.log_port = self._serve('log', build_log_app(self.store))
+        self.list_port = self._serve('list', build_list_app(self.listing))
+
+    def add_engine(self, name, domain='d1', model=FAST_ENGINE):
+        self.engines[name] = Engine(model)
+        port = self._serve(name, build_engine_app(self.engines[name]))
+        self._list(name, port, domain, 'chat')
+
+    def add_service(self, name, domain='d1', work_s=0.005):
+        self.books[name] = Book(work_s)
+        port = self._serve(name, build_service_app(self.books[name]))
+        self._list(name, port, domain, 'desk')
+
+    async def add_instance(self, name, domain='d1', timings=TIMINGS):
+        ports = [find_port() for _ in range(3)]
+        callers, peers, operators = (f'127.0.0.1:{port}' for port in ports)
+        listen = Listen(callers=callers, peers=peers, operators=operators)
+        config = LocalConfig(
+            instance=name,
+            failure_domain=domain,
+            listen=listen,
+            platform=Platform(
+                log_url=f'http://127.0.0.1:{self.log_port}',
+                membership_url=f'http://127.0.0.1:{self.list_port}',
+            ),
+            peer_key='test',
+            timings=timings,
+            max_calls=300,
+        )
+        self.ports[name] = ports[0]
+        self._list(name, ports[1], domain, '')
+        instance = Instance.from_config(config, SystemClock())
+        self.instances[name] = instance
+        await instance.start()
+        return instance
+
+    def publish(self, node, based_on=0, team=''):
+        record = Publication(
+            id=f'{team}-{based_on}',
+            team=team,
+            based_on=based_on,
+            node=node,
+        )
+        stream = self.store.get_stream('settings')
+        stream.append(msgspec.to_builtins(record), self.store.keep)
+
+    async def wait_ready(self):
+        await wait_for(self._all_ready)
+
+    def _all_ready(self):
+        return all(
+            status.ready and (status.owned or status.linked)
+            for status in self.describe()
+        )
+
+    def describe(self):
+        return [instance.describe() for instance in self.instances.values()]
+
+    def stop_server(self, name):
+        server = self._servers.pop(name)
+        server.stop()
+        return asyncio.ensure_future(server.close_all_connections())
+
+    async def chat(self, instance, body, headers=None, runs=None):
+        """Return status, headers and body of a chat call."""
+        parts = [] if runs is None else runs
+        call = Call(
+            url=f'{self.locate(instance)}/v1/chat/completions',
+            method='POST',
+            headers={'Authorization': 'Bearer ann', **(headers or {})},
+            body=body,
+            fresh=True,
+        )
+        reply = await self.client.stream(call, Transfer(), parts.append)
+        return reply.status, reply.headers, b''.join(parts)
+
+    async def call(self, instance, path, headers=None, body=b'{}', **extra):
+        """Return the reply to a call of the plain service."""
+        return await self.client.fetch(
+            Call(
+                url=f'{self.locate(instance)}/services/desk/{path}',
+                method='POST',
+                headers={'Authorization': 'Bearer ann', **(headers or {})},
+                body=body,
+                fresh=True,
+                **extra,
+            ),
+        )
+
+    def locate(self, instance):
+        return f'http://127.0.0.1:{self.ports[instance]}'
+
+    async def close(self):
+        for instance in self.instances.values():
+            instance.close()
+        for name in list(self._servers):
+            self.stop_server(name)
+        self.client.close()
+        await asyncio.sleep(0)
+
+    def _serve(self, name, application):
+        port = find_port()
+        server = HTTPServer(application)
+        server.listen(port, '127.0.0.1')
+        self._servers[name] = server
+        return port
+
+    def _list(self, name, port, domain, pool):
+        self.listing.put(Entry(name, f'127.0.0.1:{port}', domain, pool), 0)
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(node, instances=1, engines=1, services=1):
+    """Yield a ready cluster in one failure domain."""
+    cluster = Cluster()
+    try:
+        for number in range(engines):
+            cluster.add_engine(f'chat-{number}')
+        for number in range(services):
+            cluster.add_service(f'desk-{number}')
+        cluster.publish(node)
+        for number in range(instances):
+            await cluster.add_instance(f'entry-{number}')
+        await cluster.wait_ready()
+        yield cluster
+    finally:
+        await cluster.close()
+
+
+async def wait_for(condition, limit_s=WAIT_S):
+    """Wait until a condition holds; fail if it does not in time."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def show_fault(faults, kind, amount=1.0, for_s=60.0):
+    """Start a fault of a stand-in."""
+    faults.start(Fault(kind=kind, for_s=for_s, amount=amount))
+
+
+def build_chat(text='hello', max_tokens=5, stream=True):
+    """Return a chat-completions body."""
+    return msgspec.json.encode(
+        {
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': max_tokens,
+            'stream': stream,
+        },
+    )
+
+
+def expect_text(body):
+    """Return the engines' answer to a body."""
+    request = msgspec.json.decode(body, type=ChatRequest)
+    seed, _ = read_prompt(request)
+    return ''.join(make_word(seed, i) for i in range(request.max_tokens))
+
+
+def read_text(answer):
+    """Return the text of a streamed answer that must be whole."""
+    assert answer.endswith(b'data: [DONE]\n\n'), answer[-200:]
+    return decode_answer([answer]).text
+
+
+def read_error(answer):
+    """Return the error object of a response body."""
+    return msgspec.json.decode(answer)['error']
+
+
+async def settle(awaitable):
+    """Return what an awaitable returns, or the package's error it raises."""
+    try:
+        return await awaitable
+    except AnvilhallError as error:
+        return error
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,289 @@
+"""The callers' interface: whole answers, and true refusals of bad input."""
+
+import asyncio
+import contextlib
+import time
+
+import msgspec
+import pytest
+
+from tests.cluster import (
+    build_chat,
+    expect_text,
+    open_cluster,
+    read_error,
+    read_text,
+    settle,
+    show_fault,
+    wait_for,
+)
+
+
+def test_streamed_answer_is_whole(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            body = build_chat(max_tokens=20)
+            status, headers, answer = await cluster.chat('entry-0', body)
+            assert status == 200
+            assert headers['Content-Type'] == 'text/event-stream'
+            assert read_text(answer) == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+def test_whole_answer_is_json(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            body = build_chat(stream=False)
+            _, _, answer = await cluster.chat('entry-0', body)
+            choice = msgspec.json.decode(answer)['choices'][0]
+            assert choice['message']['content'] == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('body', 'headers', 'status', 'code'),
+    [
+        (b'{"messages": [', {}, 400, 'malformed_request'),
+        (b'[]', {}, 400, 'malformed_request'),
+        (b'{"messages": "x"}', {}, 400, 'malformed_request'),
+        (b'{"messages": []}', {}, 400, 'malformed_request'),
+        (b'{}', {'Anvilhall-Class': 'nothing'}, 400, 'unknown_class'),
+        (b'{}', {'Authorization': 'Bearer nobody'}, 401, 'unknown_account'),
+        (b'{}', {'Authorization': 'x'}, 401, 'unknown_account'),
+        (b'x' * 5_000_000, {}, 413, 'body_too_large'),
+        (
+            b'{}',
+            {'Anvilhall-Deadline-Seconds': 'soon'},
+            400,
+            'malformed_request',
+        ),
+        (b'{}', {'Anvilhall-Class': 'order'}, 404, 'unknown_path'),
+    ],
+)
+def test_bad_input_gets_a_true_refusal(root_json, body, headers, status, code):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            body_sent = build_chat() if code == 'unknown_path' else body
+            got = await cluster.chat('entry-0', body_sent, headers)
+            error = read_error(got[2])
+            assert (got[0], error['code']) == (status, code)
+            assert error['outcome'] == 'not_run'
+            assert got[1]['Anvilhall-Outcome'] == 'not_run'
+            assert cluster.engines['chat-0'].started == []
+
+    asyncio.run(scenario())
+
+
+def test_endless_header_closes_the_connection(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            port = cluster.ports['entry-0']
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET / HTTP/1.1\r\nX-Long: ')
+            writer.write(b'x' * 100_000)
+            await writer.drain()
+            left = b''
+            with contextlib.suppress(ConnectionResetError):
+                left = await asyncio.wait_for(reader.read(), 5)
+            assert b'200' not in left
+            body = build_chat()
+            assert (await cluster.chat('entry-0', body))[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_caller_gone_is_cancelled_upstream_within_a_second(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            runs = []
+            body = build_chat(max_tokens=2000)
+            call = asyncio.ensure_future(
+                cluster.chat('entry-0', body, runs=runs),
+            )
+            await wait_for(lambda: len(runs) > 3)
+            engine = cluster.engines['chat-0']
+            call.cancel()
+            began = time.monotonic()
+            await wait_for(lambda: engine.cancelled and not engine.running)
+            assert time.monotonic() - began < 1.0
+            await wait_for(lambda: not cluster.describe()[0].open_requests)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('fault', ['garbage', 'half_event', 'no_end'])
+def test_spoilt_answer_is_made_whole_by_another_engine(root_json, fault):
+    async def scenario():
+        async with open_cluster(root_json, engines=2) as cluster:
+            for engine in cluster.engines.values():
+                show_fault(engine.faults, fault)
+            body = build_chat(max_tokens=10)
+            status, _, answer = await cluster.chat('entry-0', body)
+            assert status == 200
+            assert read_text(answer) == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+def test_engine_that_sends_nothing_is_given_up(root_json):
+    root_json['pools']['chat']['first_byte_timeout_s'] = 0.3
+
+    async def scenario():
+        async with open_cluster(root_json, engines=2) as cluster:
+            for engine in cluster.engines.values():
+                show_fault(engine.faults, 'nothing')
+            body = build_chat()
+            status, _, answer = await cluster.chat('entry-0', body)
+            assert status == 200
+            assert read_text(answer) == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+def test_engine_that_goes_silent_mid_answer_is_given_up(root_json):
+    root_json['pools']['chat']['gap_timeout_s'] = 0.3
+
+    async def scenario():
+        async with open_cluster(root_json, engines=2) as cluster:
+            body = build_chat(max_tokens=30)
+            runs = []
+            call = asyncio.ensure_future(
+                cluster.chat('entry-0', body, runs=runs),
+            )
+            await wait_for(lambda: len(runs) > 3)
+            for engine in cluster.engines.values():
+                if engine.running:
+                    show_fault(engine.faults, 'silent')
+            status, _, answer = await call
+            assert status == 200
+            assert read_text(answer) == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+def test_class_that_may_not_resume_says_partly_delivered(root_json):
+    root_json['classes']['quick']['resumable'] = False
+
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            body = build_chat(max_tokens=30)
+            runs = []
+            call = asyncio.ensure_future(
+                cluster.chat('entry-0', body, runs=runs),
+            )
+            await wait_for(lambda: len(runs) > 3)
+            await cluster.stop_server('chat-0')
+            _, _, answer = await call
+            assert b'[DONE]' not in answer
+            last = answer.rstrip().rpartition(b'event: error\ndata: ')[2]
+            assert read_error(last)['outcome'] == 'partly_delivered'
+
+    asyncio.run(scenario())
+
+
+def test_deadline_in_the_queue_is_not_run(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            long_body = build_chat(max_tokens=300)
+            fillers = [
+                asyncio.ensure_future(cluster.chat('entry-0', long_body))
+                for _ in range(2)
+            ]
+            engine = cluster.engines['chat-0']
+            await wait_for(lambda: len(engine.running) == 2)
+            headers = {'Anvilhall-Deadline-Seconds': '0.2'}
+            status, _, answer = await cluster.chat(
+                'entry-0',
+                build_chat(),
+                headers,
+            )
+            assert status == 504
+            assert read_error(answer)['code'] == 'deadline_passed'
+            assert len(engine.started) == 2
+            for filler in fillers:
+                filler.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_other_accounts_never_see_an_answer(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            named = {'Anvilhall-Class': 'order', 'Idempotency-Key': 'k1'}
+            mine = await cluster.call('entry-0', 'orders', named)
+            theirs = await cluster.call(
+                'entry-0',
+                'orders',
+                {**named, 'Authorization': 'Bearer bob'},
+            )
+            assert msgspec.json.decode(mine.body)['number'] == 1
+            assert msgspec.json.decode(theirs.body)['number'] == 2
+
+    asyncio.run(scenario())
+
+
+def test_order_whose_answer_was_lost_never_runs_again(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            book = cluster.books['desk-0']
+            show_fault(book.faults, 'lose_answer')
+            named = {'Anvilhall-Class': 'order', 'Idempotency-Key': 'k1'}
+            first = await cluster.call('entry-0', 'orders', named)
+            second = await cluster.call('entry-0', 'orders', named)
+            assert book.runs == ['k1']
+            for reply in (first, second):
+                assert read_error(reply.body)['outcome'] == 'may_have_run'
+
+    asyncio.run(scenario())
+
+
+def test_lookup_whose_answer_was_lost_is_repeated(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            show_fault(cluster.books['desk-0'].faults, 'lose_answer')
+            named = {'Anvilhall-Class': 'lookup'}
+            reply = await cluster.call('entry-0', 'stock', named)
+            assert reply.status == 200
+
+    asyncio.run(scenario())
+
+
+def test_order_during_a_log_outage_is_truly_not_run(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            show_fault(cluster.store.faults, 'outage')
+            named = {'Anvilhall-Class': 'order', 'Idempotency-Key': 'k1'}
+            reply = await cluster.call('entry-0', 'orders', named)
+            error = read_error(reply.body)
+            assert error['code'] == 'claim_unavailable'
+            assert error['outcome'] == 'not_run'
+            assert cluster.books['desk-0'].runs == []
+            show_fault(cluster.store.faults, 'outage', for_s=0)
+            again = await settle(_try_until_ok(cluster, named))
+            assert again.status == 200
+            assert cluster.books['desk-0'].runs == ['k1']
+
+    asyncio.run(scenario())
+
+
+def test_claim_whose_append_answer_was_lost_is_found(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            show_fault(cluster.store.faults, 'lose_answer')
+            named = {'Anvilhall-Class': 'order', 'Idempotency-Key': 'k1'}
+            reply = await cluster.call('entry-0', 'orders', named)
+            assert reply.status == 200
+            assert cluster.books['desk-0'].runs == ['k1']
+
+    asyncio.run(scenario())
+
+
+async def _try_until_ok(cluster, headers):
+    for _ in range(20):
+        reply = await cluster.call('entry-0', 'orders', headers)
+        if reply.status == 200:
+            break
+        await asyncio.sleep(0.2)
+    return reply
--- /dev/null
+++ b/tests/test_outbound.py
@@ -0,0 +1,76 @@
+"""The HTTP client sends each request over one connection at most."""
+
+import asyncio
+
+import pytest
+
+from anvilhall.exceptions import UpstreamCut, UpstreamRefused
+from anvilhall.outbound import Call, Outbound, Transfer
+from tests.cluster import find_port
+
+
+class _DroppingServer:
+    """Answers the first request of a connection; hangs up on the second."""
+
+    def __init__(self):
+        self.requests = 0
+
+    async def serve(self, reader, writer):
+        for place in range(2):
+            await reader.readuntil(b'\r\n\r\n')
+            self.requests += 1
+            if place == 0:
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+                await writer.drain()
+        writer.close()
+
+
+def test_post_is_not_sent_again_when_a_pooled_connection_closes():
+    async def scenario():
+        dropping = _DroppingServer()
+        port = find_port()
+        server = await asyncio.start_server(dropping.serve, '127.0.0.1', port)
+        outbound = Outbound(10)
+        call = Call(url=f'http://127.0.0.1:{port}/', method='POST', body=b'')
+        assert (await outbound.fetch(call)).body == b'ok'
+        with pytest.raises(UpstreamCut):
+            await outbound.fetch(call)
+        await asyncio.sleep(0.2)
+        # Without the guard libcurl sends the second POST a second time.
+        assert dropping.requests == 2
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_refused_connection_is_known_not_to_be_sent():
+    async def scenario():
+        outbound = Outbound(10)
+        transfer = Transfer()
+        call = Call(url=f'http://127.0.0.1:{find_port()}/')
+        with pytest.raises(UpstreamRefused):
+            await outbound.fetch(call, transfer)
+        assert not transfer.sent
+
+    asyncio.run(scenario())
+
+
+def test_aborted_call_ends_at_once_even_without_data():
+    async def scenario():
+        async def hang(reader, writer):
+            await asyncio.sleep(60)
+
+        port = find_port()
+        server = await asyncio.start_server(hang, '127.0.0.1', port)
+        outbound = Outbound(10)
+        transfer = Transfer()
+        call = Call(url=f'http://127.0.0.1:{port}/')
+        fetch = asyncio.ensure_future(outbound.fetch(call, transfer))
+        while not transfer.sent:
+            await asyncio.sleep(0.01)
+        transfer.abort()
+        with pytest.raises(UpstreamCut):
+            await asyncio.wait_for(fetch, 5)
+        server.close()
+
+    asyncio.run(scenario())
