Keep the beginning of answers that come with their head; measure the relay

Cause: the benchmark hung. The HTTP client reports the lines of a response's head on a later turn of the loop, so the first parts of a quick answer came while its status was unknown, and were dropped. The answer then counted as cut.

Ruled out: the event reader (it read the same bytes whole) and the source (the bare relay passed them on).

Change: the body is held until the status is known. Counters are added up per answer instead of per event, and a flush needs no task.

The test of the quick answer failed before the change and passes after it.

What is left per event is one write and flush for each small event, the gaps' clock and the progress callback.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # Benchmarks: ratios between two things measured in one run.
 measure: $(VENV)/installed
-	$(BIN)/python tools/measure.py
+	$(BIN)/python -m tools.measure
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -254,36 +254,49 @@
 class StreamSink(HandlerSink):
     """Passes events on as they come."""
 
-    __slots__ = ('_flushing', '_unsent')
+    __slots__ = ('_flushing', '_relayed_bytes', '_unsent')
 
     def __init__(self, handler: CallerHandler) -> None:
         """Start before the first byte."""
         super().__init__(handler)
         self._flushing: asyncio.Future[None] | None = None
         self._unsent = 0
+        self._relayed_bytes = 0
 
     def write_events(self, run: bytes) -> None:
         """Write a run; what gathers while one flush lasts goes in the next."""
-        handler = self._handler
         if not self.begun:
             self._begin()
-        handler.context.gate.count_relayed(run)
+        handler = self._handler
         handler.write(run)
-        self._unsent += len(run)
+        self._relayed_bytes += len(run)
         if self._flushing is None or self._flushing.done():
             self._unsent = 0
-            self._flushing = asyncio.ensure_future(handler.flush())
-            self._flushing.add_done_callback(_ignore_result)
-        elif self._unsent > _UNSENT_LIMIT_BYTES:
-            handler.on_connection_close()
+            self._flushing = handler.flush()
+        else:
+            self._note_backlog(len(run))
+
+    def finish(self) -> None:
+        """End the answer."""
+        self._count()
+        super().finish()
 
     def break_off(self, error: AnvilhallError) -> None:
         """Send the error as a last event; no event ends the answer."""
+        self._count()
         payload = encode_error(error, self._handler.request_id)
         event = b''.join((b'event: error\ndata: ', payload, b'\n\n'))
         self._handler.write(event)
         self._handler.finish()
 
+    def _note_backlog(self, size: int) -> None:
+        self._unsent += size
+        if self._unsent > _UNSENT_LIMIT_BYTES:
+            self._handler.on_connection_close()
+
+    def _count(self) -> None:
+        self._handler.context.gate.count_relayed(self._relayed_bytes)
+
     def _begin(self) -> None:
         self.begun = True
         handler = self._handler
@@ -481,10 +494,5 @@
     ]
 
 
-def _ignore_result(flush: 'asyncio.Future[None]') -> None:
-    if not flush.cancelled():
-        flush.exception()
-
-
 def _log_nothing(handler: RequestHandler) -> None:
     """Keep tornado from writing a line for each request."""
--- a/src/anvilhall/events.py
+++ b/src/anvilhall/events.py
@@ -88,14 +88,15 @@
         return any(choice.finish_reason for choice in last.choices)
 
     def _inspect(self, run: bytes) -> None:
-        events = run.count(SEPARATOR)
-        if run.count(b'\n\ndata:') != events - 1 or not run.startswith(_DATA):
-            events = _count_events(run)
-        if _ERROR in run:
-            _check_error(run)
         if self.events == 0:
             _decode_event(run.partition(SEPARATOR)[0])
-        if _DONE in run and run.endswith(DONE_EVENT):
+        if _ERROR in run:
+            _check_error(run)
+        if run.startswith(_DATA) and run.find(SEPARATOR) == len(run) - 2:
+            events = 1
+        else:
+            events = _count_events(run)
+        if run.endswith(DONE_EVENT):
             self.done = True
             events -= 1
         self.events += events
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from anvilhall import defaults
@@ -336,11 +337,10 @@
     ) -> None:
         """Pass the events of an engine on until its answer is whole."""
         call = wire.build_call(self._job, self.grant, answer)
-        head = _Head()
         problems: list[AnvilhallError] = []
 
         def take(chunk: bytes) -> None:  # noqa: WPS430
-            if problems or head.status != _HTTP_OK:
+            if problems:
                 return
             try:
                 self._take_chunk(chunk, pass_on)
@@ -348,17 +348,19 @@
                 problems.append(error)
                 self.transfer.abort()
 
+        body = _BodyGate(take)
         timer = self._watch()
         try:
             reply = await self._services.outbound.stream(
                 call,
                 self.transfer,
-                take,
-                head.take_line,
+                body.take_chunk,
+                body.take_head_line,
             )
         except (UpstreamCut, UpstreamRefused, UpstreamStalled) as error:
             failure: AnvilhallError | None = self._name_stall(error)
         else:
+            body.finish(reply.status)
             failure = _judge_reply(reply)
         finally:
             timer.cancel()
@@ -480,17 +482,43 @@
             self._attempt.transfer.abort()
 
 
-class _Head:
-    """Reads the status from the lines of a response's head."""
+class _BodyGate:
+    """Lets the body of a response through once its status is known to be 200.
 
-    __slots__ = ('status',)
+    The HTTP client reports the lines of the head on a later turn of the loop,
+    so that the first parts of a short body come before them.
+    """
 
-    def __init__(self) -> None:
-        self.status = 0
+    __slots__ = ('_held', '_status', '_take')
+
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+        self._status = 0
+        self._held: list[bytes] = []
 
-    def take_line(self, line: str) -> None:
+    def take_head_line(self, line: str) -> None:
         if line.startswith('HTTP/'):
-            self.status = int(line.split()[1])
+            self._status = int(line.split()[1])
+        elif not line.strip():
+            self._let_through()
+
+    def take_chunk(self, chunk: bytes) -> None:
+        if self._status == _HTTP_OK and not self._held:
+            self._take(chunk)
+        elif self._status in {0, _HTTP_OK}:
+            self._held.append(chunk)
+
+    def finish(self, status: int) -> None:
+        """Let through what was held when the response has ended."""
+        self._status = status
+        self._let_through()
+
+    def _let_through(self) -> None:
+        held = self._held
+        self._held = []
+        if self._status == _HTTP_OK:
+            for chunk in held:
+                self._take(chunk)
 
 
 def _judge_reply(reply: Reply) -> AnvilhallError | None:
--- a/src/anvilhall/gate.py
+++ b/src/anvilhall/gate.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from anvilhall.events import SEPARATOR
 from anvilhall.exceptions import (
     AnvilhallError,
     CallerGone,
@@ -84,7 +83,6 @@
         """Count a request whose caller has gone."""
         self._metrics.uncertain.labels(CallerGone.code, class_name).inc()
 
-    def count_relayed(self, run: bytes) -> None:
-        """Count a run of events passed on."""
-        self._metrics.events_relayed.inc(run.count(SEPARATOR))
-        self._metrics.bytes_relayed.inc(len(run))
+    def count_relayed(self, size: int) -> None:
+        """Count the bytes of an answer passed on."""
+        self._metrics.bytes_relayed.inc(size)
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -20,7 +20,6 @@
     __slots__ = (
         'bytes_relayed',
         'claims',
-        'events_relayed',
         'first_token',
         'grants',
         'link_messages',
@@ -70,10 +69,6 @@
             'owner',
         )
         self.claims = self._count('claims', 'Claims by their result.', 'result')
-        self.events_relayed = self._count(
-            'events_relayed',
-            'Events passed on to callers.',
-        )
         self.bytes_relayed = self._count(
             'bytes_relayed',
             'Bytes passed on to callers.',
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
 
 from anvilhall.clock import SystemClock
 from anvilhall.events import decode_answer
@@ -19,6 +20,7 @@
     Engine,
     EngineModel,
     build_engine_app,
+    encode_event,
     make_word,
     read_prompt,
 )
@@ -70,6 +72,10 @@
         port = self._serve(name, build_engine_app(self.engines[name]))
         self._list(name, port, domain, 'chat')
 
+    def add_quick_engine(self, name):
+        port = self._serve(name, build_quick_app())
+        self._list(name, port, 'd1', 'chat')
+
     def add_service(self, name, domain='d1', work_s=0.005):
         self.books[name] = Book(work_s)
         port = self._serve(name, build_service_app(self.books[name]))
@@ -173,6 +179,18 @@
         self.listing.put(Entry(name, f'127.0.0.1:{port}', domain, pool), 0)
 
 
+class QuickHandler(RequestHandler):
+    """Sends a whole answer at once, together with its head."""
+
+    def post(self):
+        event = encode_event('quick', 'word ', last=True)
+        self.finish(event + b'data: [DONE]\n\n')
+
+
+def build_quick_app():
+    return Application([('/v1/chat/completions', QuickHandler)])
+
+
 @contextlib.asynccontextmanager
 async def open_cluster(node, instances=1, engines=1, services=1):
     """Yield a ready cluster in one failure domain."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -31,6 +31,21 @@
     asyncio.run(scenario())
 
 
+def test_answer_that_comes_with_its_head_is_whole(root_json):
+    """The head's lines are reported after the first parts of the body."""
+
+    async def scenario():
+        async with open_cluster(root_json, engines=0) as cluster:
+            cluster.add_quick_engine('chat-0')
+            body = build_chat(max_tokens=3)
+            await wait_for(lambda: _count_runners(cluster, 'chat'))
+            status, _, answer = await cluster.chat('entry-0', body)
+            assert status == 200
+            assert read_text(answer) == 'word '
+
+    asyncio.run(scenario())
+
+
 def test_whole_answer_is_json(root_json):
     async def scenario():
         async with open_cluster(root_json) as cluster:
@@ -280,6 +295,11 @@
     asyncio.run(scenario())
 
 
+def _count_runners(cluster, pool):
+    owned = cluster.describe()[0].owned
+    return sum(shard.runners for shard in owned if shard.pool == pool)
+
+
 async def _try_until_ok(cluster, headers):
     for _ in range(20):
         reply = await cluster.call('entry-0', 'orders', headers)
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each compares two things in one run."""
