Run real instances on virtual time, and prove the first promises

Cause: what many instances do together was not tested at all, and tests on sockets can't order faults exactly.

Ruled out: a separate model of the instances (it would prove the model); so the daemon's own objects run on a loop whose time is virtual, with links, log, membership list and upstreams in memory.

Periodic work that a fault ends is counted, logged and started again: before, such a fault ended heartbeats for good without a word.

--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -1,7 +1,7 @@
 """Claims idempotency keys on the platform's log before a request runs."""
 
 import asyncio
-import uuid
+import random
 from collections.abc import Iterable
 
 import msgspec
@@ -37,6 +37,8 @@
 
 #: Seconds before the log is tried again after it failed.
 _RETRY_S = 0.1
+#: Size of a claim's identifier.
+_ID_BITS = 128
 
 
 class ClaimKeeper:
@@ -46,6 +48,7 @@
     """
 
     __slots__ = (
+        '_chance',
         '_claims',
         '_clock',
         '_folded',
@@ -67,10 +70,12 @@
         clock: Clock,
         timings: Timings,
         metrics: Metrics,
+        chance: random.Random,
     ) -> None:
         """Start with an empty queue."""
         self._instance = instance
         self._log = log
+        self._chance = chance
         self._clock = clock
         self._timings = timings
         self._metrics = metrics
@@ -111,7 +116,7 @@
         """
         self.check(job)
         claim = Claim(
-            id=uuid.uuid4().hex,
+            id=f'{self._chance.getrandbits(_ID_BITS):x}',
             account=job.account,
             key=job.key,
             digest=job.body_digest,
--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -18,7 +18,7 @@
 from anvilhall.exceptions import AnvilhallError, PlatformError
 from anvilhall.logservice import HttpLogClient, LogClient
 from anvilhall.operators import Status
-from anvilhall.outbound import Call, Outbound
+from anvilhall.outbound import Call, CurlOutbound, Outbound
 from anvilhall.publishing import (
     PublishOutcome,
     PublishReport,
@@ -280,7 +280,7 @@
 async def _read_statuses(
     instances: tuple[str, ...],
 ) -> dict[str, Status | None]:
-    outbound = Outbound(_MAX_CALLS)
+    outbound = CurlOutbound(_MAX_CALLS)
     reads = [_read_status(outbound, url) for url in instances]
     return dict(zip(instances, await asyncio.gather(*reads), strict=True))
 
@@ -299,7 +299,7 @@
     work: Callable[[LogClient], Coroutine[Any, Any, _Returned]],
 ) -> _Returned:
     async def run() -> _Returned:  # noqa: WPS430
-        return await work(HttpLogClient(log_url, Outbound(_MAX_CALLS)))
+        return await work(HttpLogClient(log_url, CurlOutbound(_MAX_CALLS)))
 
     try:
         return _run_async(run())
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -106,6 +106,7 @@
         outbound: Outbound,
         clock: Clock,
         metrics: Metrics,
+        chance: random.Random,
     ) -> None:
         """Bundle them."""
         self.broker = broker
@@ -114,7 +115,7 @@
         self.clock = clock
         self.metrics = metrics
         self.budget = RetryBudget(defaults.RETRY_BUDGET_SHARE)
-        self.chance = random.Random()
+        self.chance = chance
 
 
 class Execution:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -7,7 +7,7 @@
 from anvilhall.clock import Clock
 from anvilhall.directory import Directory
 from anvilhall.exceptions import PeerUnreachable
-from anvilhall.links import LinkEvents, Links
+from anvilhall.links import LinkEvents, Links, LinkSet
 from anvilhall.local import LocalConfig
 from anvilhall.logs import note_change
 from anvilhall.memberlist import MemberList
@@ -32,6 +32,12 @@
 #: Handles a kind of message that the fleet itself has no use for.
 Handler = Callable[[str, Message], None]
 _MS_PER_S = 1000
+#: Makes the links from the configuration, the source of the present
+#: incarnation, the metrics and the callbacks.
+BuildLinks = Callable[
+    [LocalConfig, Callable[[], int], Metrics, LinkEvents],
+    LinkSet,
+]
 
 
 class Fleet:
@@ -61,6 +67,7 @@
         config: LocalConfig,
         clock: Clock,
         metrics: Metrics,
+        build_links: BuildLinks = Links,
     ) -> None:
         """Start alone."""
         self._config = config
@@ -83,7 +90,7 @@
                 remove_after_s=config.timings.remove_after_s,
             ),
         )
-        self._links = Links(
+        self._links = build_links(
             config,
             lambda: self._membership.incarnation,
             metrics,
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -1,6 +1,7 @@
 """One entry instance: everything joined, and its periodic work."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 from tornado.httpserver import HTTPServer
@@ -13,89 +14,136 @@
 from anvilhall.clock import Clock
 from anvilhall.exceptions import PlatformError
 from anvilhall.execution import Services
-from anvilhall.fleet import Fleet
+from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.follower import SettingsFollower
 from anvilhall.gate import Gate
 from anvilhall.ledger import Ledger
+from anvilhall.links import Links
 from anvilhall.local import LocalConfig, split_address
 from anvilhall.logs import note_change
-from anvilhall.logservice import LOG_CLIENTS
-from anvilhall.memberlist import MEMBERSHIP_CLIENTS, MemberList
+from anvilhall.logservice import LOG_CLIENTS, LogClient
+from anvilhall.memberlist import (
+    MEMBERSHIP_CLIENTS,
+    MemberList,
+    MembershipClient,
+)
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
-from anvilhall.outbound import Outbound
+from anvilhall.outbound import CurlOutbound, Outbound
 from anvilhall.owner import summarise
 from anvilhall.tree import Tree
 
 #: Seconds between rounds of work that is due by time.
 _TICK_S = 0.05
+#: Seconds before periodic work that a fault ended is started again.
+_RESTART_S = 0.25
 #: Seconds between looks at whether a shutdown is complete.
 _DRAIN_POLL_S = 0.05
 #: Seconds for which the balancer may still send requests after readiness fell.
 _LINGER_S = 0.2
 
 
+class Surroundings:
+    """What an instance reaches the outside through."""
+
+    __slots__ = (
+        'build_links',
+        'chance',
+        'clock',
+        'log',
+        'membership',
+        'outbound',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        outbound: Outbound,
+        log: LogClient,
+        membership: MembershipClient,
+        build_links: BuildLinks = Links,
+        chance: random.Random | None = None,
+    ) -> None:
+        """Bundle them."""
+        self.clock = clock
+        self.outbound = outbound
+        self.log = log
+        self.membership = membership
+        self.build_links = build_links
+        self.chance = chance or random.SystemRandom()
+
+    @classmethod
+    def from_config(cls, config: LocalConfig, clock: Clock) -> 'Surroundings':
+        """Build what the settings of the process name."""
+        outbound = CurlOutbound(config.max_calls)
+        platform = config.platform
+        log = LOG_CLIENTS.get(platform.log_client)(platform.log_url, outbound)
+        membership = MEMBERSHIP_CLIENTS.get(platform.membership_client)(
+            platform.membership_url,
+            outbound,
+        )
+        return cls(clock, outbound, log, membership)
+
+
 class Instance:
     """One entry instance.
 
     :param config: settings of the process.
-    :param clock: source of time.
+    :param surroundings: clock, client and platform.
     """
 
     __slots__ = (
         '_claims',
-        '_clock',
         '_config',
         '_fleet',
         '_follower',
-        '_gate',
         '_membership',
-        '_metrics',
-        '_outbound',
         '_servers',
-        '_services',
-        '_shelf',
         '_tasks',
+        'gate',
+        'metrics',
+        'services',
+        'shelf',
     )
 
-    def __init__(self, config: LocalConfig, clock: Clock) -> None:
+    def __init__(self, config: LocalConfig, surroundings: Surroundings) -> None:
         """Build all parts; nothing runs yet."""
         self._config = config
-        self._clock = clock
-        self._metrics = Metrics()
-        self._outbound = Outbound(config.max_calls)
-        self._fleet = Fleet(config, clock, self._metrics)
-        log = LOG_CLIENTS.get(config.platform.log_client)(
-            config.platform.log_url,
-            self._outbound,
+        clock = surroundings.clock
+        self.metrics = Metrics()
+        self._fleet = Fleet(
+            config,
+            clock,
+            self.metrics,
+            surroundings.build_links,
         )
-        self._membership = MEMBERSHIP_CLIENTS.get(
-            config.platform.membership_client,
-        )(config.platform.membership_url, self._outbound)
+        self._membership = surroundings.membership
         self._follower = SettingsFollower(
-            log,
+            surroundings.log,
             self._fleet,
             clock,
             config.timings,
-            self._metrics,
+            self.metrics,
         )
         self._follower.set_listener(self._apply_settings)
         self._claims = ClaimKeeper(
             config.instance,
-            log,
+            surroundings.log,
             Ledger(defaults.CLAIM_WINDOW_S),
             clock,
             config.timings,
-            self._metrics,
+            self.metrics,
+            surroundings.chance,
         )
-        self._shelf = AnswerShelf(self._claims, self._fleet)
-        self._gate = Gate(self._get_tree, self._metrics)
-        self._services = Services(
+        self.shelf = AnswerShelf(self._claims, self._fleet)
+        self.gate = Gate(self._get_tree, self.metrics)
+        self.services = Services(
             self._fleet.broker,
             self._claims,
-            self._outbound,
+            surroundings.outbound,
             clock,
-            self._metrics,
+            self.metrics,
+            surroundings.chance,
         )
         self._servers: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -103,29 +151,33 @@
     @classmethod
     def from_config(cls, config: LocalConfig, clock: Clock) -> 'Instance':
         """Build an instance from the settings of its process."""
-        return cls(config, clock)
+        return cls(config, Surroundings.from_config(config, clock))
 
     async def start(self) -> None:
         """Listen and begin the periodic work."""
-        timings = self._config.timings
         await self._fleet.listen()
-        context = CallerContext(self._gate, self._services, self._shelf)
+        context = CallerContext(self.gate, self.services, self.shelf)
         listen = self._config.listen
         self._serve(build_caller_app(context), listen.callers)
         self._serve(
-            build_operator_app(self._gate, self._metrics, self.describe),
+            build_operator_app(self.gate, self.metrics, self.describe),
             listen.operators,
         )
+        self.start_work()
+        note_change('started', instance=self._config.instance)
+
+    def start_work(self) -> None:
+        """Begin the periodic work."""
+        timings = self._config.timings
         self._spawn(self._follower.run)
         self._spawn(self._claims.run)
         self._repeat(self._read_list, timings.membership_interval_s)
         self._repeat(self._beat, timings.heartbeat_interval_s)
         self._repeat(self._tick, _TICK_S)
-        note_change('started', instance=self._config.instance)
 
     async def stop(self) -> None:
         """Refuse new requests, end those in flight, hand ownership on."""
-        self._gate.draining = True
+        self.gate.draining = True
         note_change('draining', instance=self._config.instance)
         await asyncio.sleep(_LINGER_S)
         self._fleet.leave()
@@ -133,7 +185,7 @@
             async with asyncio.timeout(self._config.timings.drain_timeout_s):
                 await self._wait_drained()
         except TimeoutError:
-            note_change('drain_timeout', open=self._gate.open_requests)
+            note_change('drain_timeout', open=self.gate.open_requests)
         self.close()
         note_change('stopped', instance=self._config.instance)
 
@@ -151,12 +203,12 @@
         return Status(
             instance=self._config.instance,
             failure_domain=self._config.failure_domain,
-            ready=self._gate.ready,
-            draining=self._gate.draining,
+            ready=self.gate.ready,
+            draining=self.gate.draining,
             settings_version=state.version,
             settings_covers=state.covers,
             teams={team: part.version for team, part in state.teams.items()},
-            open_requests=self._gate.open_requests,
+            open_requests=self.gate.open_requests,
             live=self._fleet.live,
             linked=sorted(self._fleet.linked),
             owned=summarise(self._fleet.broker.owner),
@@ -171,14 +223,14 @@
     def _apply_settings(self) -> None:
         tree = self._follower.state.tree
         self._claims.ledger.window_s = tree.guards.claim_window_s
-        self._services.budget.share = tree.guards.retry_budget_share
+        self.services.budget.share = tree.guards.retry_budget_share
         self._fleet.set_tree(tree)
 
     async def _read_list(self) -> None:
         try:
             listed: MemberList = await self._membership.read()
         except PlatformError as error:
-            self._metrics.platform_failures.labels(
+            self.metrics.platform_failures.labels(
                 'membership',
                 error.code,
             ).inc()
@@ -192,7 +244,7 @@
         self._fleet.broker.tick()
 
     async def _wait_drained(self) -> None:
-        while self._gate.open_requests or not self._claims.settled:
+        while self.gate.open_requests or not self._claims.settled:
             await asyncio.sleep(_DRAIN_POLL_S)
 
     def _serve(self, application: Application, address: str) -> None:
@@ -206,7 +258,7 @@
         self._servers.append(server)
 
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
-        self._tasks.append(asyncio.ensure_future(_run(work)))
+        self._tasks.append(asyncio.ensure_future(self._keep_running(work)))
 
     def _repeat(
         self,
@@ -220,11 +272,18 @@
 
         self._spawn(repeat)
 
+    async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run work that never ends; start it again if a fault ends it."""
+        while True:
+            try:
+                await work()
+            except Exception as error:  # noqa: BLE001
+                kind = type(error).__name__
+                self.metrics.internal_errors.labels(kind).inc()
+                note_change('internal_error', error=kind, reason=str(error))
+            await asyncio.sleep(_RESTART_S)
+
 
 #: Body size beyond which the server itself closes the connection; below it
 #: the handler answers with a typed error.
 _BODY_CEILING_BYTES = 1 << 30
-
-
-async def _run(work: Callable[[], Awaitable[None]]) -> None:
-    await work()
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -10,7 +10,7 @@
 import secrets
 import ssl
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from websockets.asyncio.client import connect
@@ -125,8 +125,34 @@
         self.on_message = on_message
 
 
+class LinkSet(Protocol):
+    """What the fleet needs of the links of one instance."""
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Instances with a link in either direction."""
+
+    async def listen(self) -> None:
+        """Accept links."""
+
+    def want(self, wanted: dict[str, str]) -> None:
+        """Keep links to these instances, and drop the other dialled ones."""
+
+    def add(self, name: str, address: str) -> None:
+        """Keep a link to one more instance open."""
+
+    def send(self, name: str, message: Message) -> None:
+        """Send a message to an instance."""
+
+    def beat(self, heartbeat: Heartbeat) -> None:
+        """Send a heartbeat on dialled links and close silent links."""
+
+    def close(self) -> None:
+        """Close all links and stop accepting."""
+
+
 class Links:
-    """All links of one instance.
+    """All links of one instance, as websockets.
 
     :param get_incarnation: returns this instance's present incarnation.
     """
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -21,6 +21,7 @@
         'bytes_relayed',
         'claims',
         'first_token',
+        'internal_errors',
         'grants',
         'link_messages',
         'links_opened',
@@ -104,6 +105,11 @@
             'Orders to engines by their result.',
             'result',
         )
+        self.internal_errors = self._count(
+            'internal_errors',
+            'Faults of this program that ended periodic work.',
+            'kind',
+        )
         self.open_requests = Gauge(
             'anvilhall_open_requests',
             'Requests between arrival and the end of their answer.',
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 import pycurl
@@ -65,6 +65,11 @@
         self._aborted = False
         self._stop = asyncio.Event()
 
+    @property
+    def aborted(self) -> bool:
+        """Whether the exchange has been aborted."""
+        return self._aborted
+
     def abort(self) -> None:
         """End the exchange; a request that was not sent never will be."""
         self._aborted = True
@@ -74,6 +79,13 @@
         """Return when the exchange has been aborted."""
         await self._stop.wait()
 
+    def note_sent(self) -> bool:
+        """Note that the request is about to leave; return whether it may."""
+        if self.sent or self._aborted:
+            return False
+        self.sent = True
+        return True
+
     def prepare_curl(self, curl: pycurl.Curl, fresh: bool) -> None:
         """Install the callbacks on curl's handle."""
         curl.setopt(pycurl.NOPROGRESS, 0)
@@ -89,14 +101,31 @@
         return _ABORT_TRANSFER if self._aborted else 0
 
     def _note_send(self, *_: Any) -> int:
-        if self.sent or self._aborted:
-            return int(pycurl.PREREQFUNC_ABORT)
-        self.sent = True
-        return int(pycurl.PREREQFUNC_OK)
+        if self.note_sent():
+            return int(pycurl.PREREQFUNC_OK)
+        return int(pycurl.PREREQFUNC_ABORT)
+
+
+class Outbound(Protocol):
+    """Sends HTTP calls."""
+
+    async def fetch(
+        self, call: Call, transfer: Transfer | None = None
+    ) -> Reply:
+        """Exchange one request for a whole response of any status."""
+
+    async def stream(
+        self,
+        call: Call,
+        transfer: Transfer,
+        sink: Callable[[bytes], None],
+        head_sink: Callable[[str], None] | None = None,
+    ) -> Reply:
+        """Exchange one request for a response that arrives in parts."""
 
 
-class Outbound:
-    """Sends HTTP calls.
+class CurlOutbound:
+    """Sends HTTP calls with tornado's curl client.
 
     :param max_calls: calls in flight at once; further ones would queue
         silently in the client, so this is set above all other limits.
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,221 @@
+"""Many instances act as one, on virtual time."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from anvilhall_standins.virtualloop import run_virtual
+from tests.simulated import (
+    is_right,
+    open_fleet,
+    start_instances,
+    submit_chat,
+    submit_order,
+)
+
+
+def _owners(fleet, pool='chat'):
+    return [
+        name
+        for name, instance in fleet.instances.items()
+        if any(shard.pool == pool for shard in instance.describe().owned)
+    ]
+
+
+def test_one_owner_serves_all_instances(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        assert len(_owners(fleet)) == 1
+        records = [
+            submit_chat(fleet, name, f'question {turn}')
+            for turn in range(4)
+            for name in fleet.instances
+        ]
+        await asyncio.sleep(5)
+        assert all(record.whole and is_right(record) for record in records)
+
+    run_virtual(loop, scenario())
+
+
+def test_owner_crash_loses_no_request_of_the_others(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        owner = _owners(fleet)[0]
+        others = [name for name in fleet.instances if name != owner]
+        records = [
+            submit_chat(fleet, name, f'question {turn}', max_tokens=200)
+            for turn in range(6)
+            for name in others
+        ]
+        await asyncio.sleep(0.3)
+        fleet.crash_instance(owner)
+        await asyncio.sleep(20)
+        assert all(record.whole and is_right(record) for record in records)
+        assert len(_owners(fleet)) == 1
+
+    run_virtual(loop, scenario())
+
+
+def test_graceful_stop_hands_ownership_on_and_cuts_nothing(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        owner = _owners(fleet)[0]
+        records = [
+            submit_chat(fleet, name, f'question {turn}', max_tokens=100)
+            for turn in range(4)
+            for name in fleet.instances
+        ]
+        await asyncio.sleep(0.2)
+        began = loop.time()
+        await fleet.instances.pop(owner).stop()
+        await asyncio.sleep(20)
+        assert all(record.whole and is_right(record) for record in records)
+        assert len(_owners(fleet)) == 1
+        assert loop.time() - began < 60
+
+    run_virtual(loop, scenario())
+
+
+def test_settings_reach_instances_cut_off_from_the_log(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        for name in list(fleet.instances)[1:]:
+            fleet.log.set_cut(name, cut=True)
+        changed = {**root_json, 'guards': {'open_requests': 77}}
+        fleet.publish('', 1, changed)
+        await asyncio.sleep(4)
+        for instance in fleet.instances.values():
+            assert instance.gate.tree.guards.open_requests == 77
+
+    run_virtual(loop, scenario())
+
+
+def test_new_instance_starts_from_its_peers_while_the_log_is_out(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        fleet.log.out = True
+        fleet.add_instance('late', 'd0')
+        await asyncio.sleep(4)
+        assert fleet.instances['late'].gate.ready
+
+    run_virtual(loop, scenario())
+
+
+def test_instance_without_settings_is_not_ready(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        fleet.log.out = True
+        start_instances(fleet, per_domain=1)
+        await asyncio.sleep(5)
+        assert not fleet.instances['entry-0-0'].gate.ready
+
+    run_virtual(loop, scenario())
+
+
+def test_leaving_upstream_gets_nothing_new_after_three_seconds(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        runner = fleet.runners['chat-0-0']
+        leaving = _find_member(fleet, 'chat-0-0', leaving=True)
+        fleet.membership.put_late(leaving)
+        left_at = loop.time()
+        while loop.time() - left_at < 3:
+            submit_chat(fleet, 'entry-0-0', f'at {loop.time()}', max_tokens=2)
+            await asyncio.sleep(0.1)
+        before = len(runner.started)
+        for turn in range(40):
+            submit_chat(fleet, 'entry-0-1', f'later {turn}', max_tokens=2)
+            await asyncio.sleep(0.05)
+        assert len(runner.started) == before
+        assert all(record.whole for record in fleet.records)
+
+    run_virtual(loop, scenario())
+
+
+def test_repeat_on_another_instance_never_runs_twice(root_json):
+    loop, fleet = open_fleet(root_json, domains=2)
+
+    async def scenario():
+        start_instances(fleet, domains=2)
+        await asyncio.sleep(3)
+        for name in fleet.instances:
+            submit_order(fleet, name, 'seat-12', work_ms=50)
+        await asyncio.sleep(5)
+        runs = [run for desk in fleet.services.values() for run in desk.runs]
+        assert runs == ['seat-12']
+        for record in fleet.records:
+            assert record.whole or record.error.code in {
+                'still_running',
+                'claimed_before',
+                'already_run',
+            }
+
+    run_virtual(loop, scenario())
+
+
+@pytest.mark.parametrize('victim', ['owner', 'other'])
+def test_silent_instance_is_removed_and_its_slots_come_back(root_json, victim):
+    loop, fleet = open_fleet(root_json, runners=1)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        owner = _owners(fleet)[0]
+        others = [name for name in fleet.instances if name != owner]
+        cut_off = owner if victim == 'owner' else others[0]
+        rest = [name for name in fleet.instances if name != cut_off]
+        for turn in range(8):
+            submit_chat(fleet, cut_off, f'held {turn}', max_tokens=4000)
+        await asyncio.sleep(0.2)
+        for name in rest:
+            fleet.network.cut(cut_off, name)
+        fleet.instances[cut_off].close()
+        await asyncio.sleep(8)
+        record = submit_chat(fleet, rest[0], 'after', max_tokens=3)
+        await asyncio.sleep(120)
+        assert record.whole
+
+    run_virtual(loop, scenario())
+
+
+def test_cut_between_domains_costs_each_nothing(root_json):
+    loop, fleet = open_fleet(root_json, domains=2)
+
+    async def scenario():
+        start_instances(fleet, domains=2)
+        await asyncio.sleep(3)
+        names = list(fleet.instances)
+        for one in names:
+            for other in names:
+                if one.split('-')[1] != other.split('-')[1]:
+                    fleet.network.cut(one, other)
+        records = [submit_chat(fleet, name, 'question') for name in names]
+        await asyncio.sleep(5)
+        assert all(record.whole for record in records)
+
+    run_virtual(loop, scenario())
+
+
+def _find_member(fleet, name, *, leaving):
+    member = fleet.membership.get(name)
+    return msgspec.structs.replace(member, leaving=leaving)
--- a/tools/demo_session.py
+++ b/tools/demo_session.py
@@ -14,7 +14,7 @@
 
 from anvilhall.events import decode_answer
 from anvilhall.exceptions import AnvilhallError
-from anvilhall.outbound import Call, Outbound, Reply, Transfer
+from anvilhall.outbound import Call, CurlOutbound, Reply, Transfer
 from anvilhall_standins.engine import ChatRequest, make_word, read_prompt
 
 LOG_URL = 'http://127.0.0.1:18200'
@@ -40,7 +40,7 @@
     def __init__(self, process_dir: pathlib.Path) -> None:
         """Find the process identifiers in a directory."""
         self._process_dir = process_dir
-        self._outbound = Outbound(32)
+        self._outbound = CurlOutbound(32)
 
     async def publish(self) -> str:
         """Publish the example settings and wait until all are ready."""
