--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,161 @@
+"""Random faults break no promise; broken mechanisms are found out."""
+
+import os
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from anvilhall import execution as execution_module
+from anvilhall import retries as retries_module
+from anvilhall.claims import ClaimKeeper
+from anvilhall.execution import Execution
+from anvilhall.follower import SettingsFollower
+from anvilhall.ledger import Entry, KeyState, Ledger
+from anvilhall.messages import SettingsAsk
+from anvilhall.publication import SettingsState, Snapshot
+from tests.machine import FleetMachine
+
+EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '25'))
+STEPS = int(os.environ.get('FUZZ_STEPS', '30'))
+MUTANT_EXAMPLES = 100
+
+
+def _run_machine(examples, *, shrink=True):
+    phases = [Phase.generate]
+    if shrink:
+        phases.append(Phase.shrink)
+    run_state_machine_as_test(
+        FleetMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            derandomize='FUZZ_EXAMPLES' not in os.environ,
+            database=None,
+            deadline=None,
+            phases=phases,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_random_faults_break_no_promise():
+    _run_machine(EXAMPLES)
+
+
+def _claim_after_call(monkeypatch):
+    async def skip(self):
+        return None
+
+    monkeypatch.setattr(Execution, '_claim_key', skip)
+
+
+def _claim_without_reading_back(monkeypatch):
+    async def skip(self, claim):
+        return None
+
+    monkeypatch.setattr(ClaimKeeper, '_wait_folded', skip)
+    monkeypatch.setattr(ClaimKeeper, '_judge', lambda self, job, claim: claim)
+
+
+def _last_claim_wins(monkeypatch):
+    def fold(self, claim, now):
+        place = (claim.account, claim.key)
+        self._entries[place] = Entry(claim, KeyState.CLAIMED, now)
+
+    monkeypatch.setattr(Ledger, '_fold_claim', fold)
+
+
+def _repeat_what_may_have_run(monkeypatch):
+    def always(error, *, idempotent, delivered, resumable):
+        return retries_module.may_repeat(
+            error,
+            idempotent=True,
+            delivered=delivered,
+            resumable=resumable,
+        )
+
+    monkeypatch.setattr(execution_module, 'may_repeat', always)
+
+
+def _settle_uncertain_as_not_run(monkeypatch):
+    def abandon(self, claim):
+        self.settle(claim, ran=False)
+
+    monkeypatch.setattr(ClaimKeeper, 'abandon', abandon)
+
+
+def _continue_from_the_start(monkeypatch):
+    monkeypatch.setattr(execution_module, 'decode_answer', lambda runs: None)
+
+
+def _call_cut_answers_not_run(monkeypatch):
+    monkeypatch.setattr(
+        execution_module,
+        'AnswerCut',
+        execution_module.DeadlinePassed,
+    )
+
+
+def _take_older_settings(monkeypatch):
+    def take_heartbeat(self, sender, message):
+        if message.settings_covers < self.state.covers:
+            self._fleet.send(sender, SettingsAsk(-1))
+
+    def take_offer(self, _, message):
+        snapshot = msgspec.json.decode(message.snapshot, type=Snapshot)
+        self.state.covers = snapshot.covers
+        self.state.version = snapshot.version
+
+    monkeypatch.setattr(SettingsFollower, '_take_heartbeat', take_heartbeat)
+    monkeypatch.setattr(SettingsFollower, '_take_offer', take_offer)
+
+
+def _judge_races_by_instance(monkeypatch):
+    original = SettingsState._apply
+    states = []
+
+    def apply(self, offset, publication):
+        if self not in states:
+            states.append(self)
+        if states.index(self) % 2:
+            based_on = self.get_version(publication.team)
+            publication = msgspec.structs.replace(
+                publication,
+                based_on=based_on,
+            )
+        original(self, offset, publication)
+
+    monkeypatch.setattr(SettingsState, '_apply', apply)
+
+
+def _forget_claims_early(monkeypatch):
+    original = Ledger.forget_old
+
+    def forget(self, now):
+        self.window_s = 0.5
+        original(self, now)
+
+    monkeypatch.setattr(Ledger, 'forget_old', forget)
+
+
+MUTANTS = [
+    _claim_after_call,
+    _claim_without_reading_back,
+    _last_claim_wins,
+    _repeat_what_may_have_run,
+    _settle_uncertain_as_not_run,
+    _continue_from_the_start,
+    _call_cut_answers_not_run,
+    _take_older_settings,
+    _judge_races_by_instance,
+    _forget_claims_early,
+]
+
+
+@pytest.mark.parametrize('mutate', MUTANTS, ids=lambda mutate: mutate.__name__)
+def test_oracle_finds_a_broken_mechanism(monkeypatch, mutate):
+    mutate(monkeypatch)
+    with pytest.raises(AssertionError):
+        _run_machine(MUTANT_EXAMPLES, shrink=False)
