--- a/src/anvilhall/broker.py
+++ b/src/anvilhall/broker.py
@@ -29,6 +29,7 @@
     Release,
 )
 from anvilhall.owner import NOT_OWNER, Owner, OwnerMessage
+from anvilhall.policies import DEFAULT_POLICY
 from anvilhall.tree import Tree
 
 #: Sends a message to another instance; raises :exc:`PeerUnreachable`.
@@ -116,6 +117,7 @@
         directory: Directory,
         send: Send,
         forward: Forward,
+        policy: str = DEFAULT_POLICY,
     ) -> None:
         """Start with no requests."""
         self._name = name
@@ -127,8 +129,8 @@
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
         #: The shards that this instance owns; its own answers come directly.
-        self.owner = Owner(clock, self._route_answer)
-        self._fallback = Owner(clock, self._take_fallback_answer)
+        self.owner = Owner(clock, self._route_answer, policy)
+        self._fallback = Owner(clock, self._take_fallback_answer, policy)
 
     @property
     def running_count(self) -> int:
--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -15,10 +15,11 @@
 import click
 import msgspec
 
-from anvilhall.exceptions import AnvilhallError, PlatformError
+from anvilhall.exceptions import AnvilhallError, PlatformError, UnknownName
 from anvilhall.logservice import HttpLogClient, LogClient
 from anvilhall.operators import Status
 from anvilhall.outbound import Call, CurlOutbound, Outbound
+from anvilhall.policies import DEFAULT_POLICY
 from anvilhall.publishing import (
     PublishOutcome,
     PublishReport,
@@ -30,7 +31,10 @@
     publish_team,
     read_settings,
 )
+from anvilhall.replay import run_replay
+from anvilhall.scores import ReplayScore
 from anvilhall.settings import Fault, JsonObject, SettingsFaulty
+from anvilhall.traces import Trace
 
 EXIT_FAULTS = 1
 EXIT_LOST = 3
@@ -255,6 +259,44 @@
         time.sleep(every)
 
 
+@run_command.command('replay')
+@click.argument(
+    'trace_file',
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+@click.option(
+    '--settings',
+    'settings_file',
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+@click.option('--policy', default=DEFAULT_POLICY, show_default=True)
+@click.option('--seed', type=int, default=1, show_default=True)
+@_json_option
+def replay_trace(
+    trace_file: pathlib.Path,
+    settings_file: pathlib.Path,
+    policy: str,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Replay TRACE_FILE under settings and a policy, on virtual time."""
+    raw = _read_file(settings_file)
+    try:
+        check_nodes(raw)
+        trace = Trace.from_file(trace_file)
+        score = run_replay(trace, raw, policy, seed)
+    except SettingsFaulty as error:
+        _print_faults(error.faults, as_json)
+        sys.exit(EXIT_FAULTS)
+    except UnknownName as error:
+        raise click.UsageError(error.reason) from error
+    if as_json:
+        click.echo(format_json(msgspec.to_builtins(score)))
+    else:
+        _print_score(score)
+
+
 async def _publish_changes(
     log: LogClient,
     raw: JsonObject,
@@ -381,6 +423,22 @@
         click.echo(line)
 
 
+def _print_score(score: ReplayScore) -> None:
+    click.echo(f'{score.trace} under {score.policy}')
+    for name, entry in score.classes.items():
+        click.echo(
+            f'  {name}: {entry.requests} requests, '
+            f'attained {entry.attained_share:.3f}, '
+            f'first token p99 {entry.first_token_p99_ms} ms, '
+            f'refused {sum(entry.refused.values())}',
+        )
+    click.echo(
+        f'  goodput {score.goodput_tokens_s:.0f} tokens/s, '
+        f'wasted {score.wasted_share:.4f}, '
+        f'longest wait of the lowest tier {score.longest_lowest_wait_s:.1f} s',
+    )
+
+
 def _print_statuses(statuses: dict[str, Status | None]) -> None:
     for url, status in statuses.items():
         if status is None:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -102,6 +102,7 @@
             self._directory,
             self._send_request,
             self._forward_answer,
+            config.policy,
         )
 
     @property
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from anvilhall import defaults
+from anvilhall.policies import DEFAULT_POLICY
 from anvilhall.settings import Fault, SettingsFaulty
 
 
@@ -78,6 +79,8 @@
     peer_key: str
     tls: Tls | None = None
     timings: Timings = Timings()
+    #: Name of the policy by which owned shards are run.
+    policy: str = DEFAULT_POLICY
     #: Calls in flight at once to upstreams and the platform.
     max_calls: int = 2 * defaults.OPEN_REQUESTS_LIMIT
 
--- a/src/anvilhall/owner.py
+++ b/src/anvilhall/owner.py
@@ -19,6 +19,7 @@
     Refusal,
     Release,
 )
+from anvilhall.policies import DEFAULT_POLICY, POLICIES
 from anvilhall.shard import Action, Seat, Shard
 from anvilhall.tree import Tree
 
@@ -50,10 +51,16 @@
     :param deliver: sends a message to an instance, this one included.
     """
 
-    __slots__ = ('_clock', '_deliver', '_owned', '_seats', '_tree')
+    __slots__ = ('_clock', '_deliver', '_owned', '_policy', '_seats', '_tree')
 
-    def __init__(self, clock: Clock, deliver: Deliver) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        deliver: Deliver,
+        policy: str = DEFAULT_POLICY,
+    ) -> None:
         """Start owning nothing."""
+        self._policy = POLICIES.get(policy)
         self._clock = clock
         self._deliver = deliver
         self._owned: dict[str, _Owned] = {}
@@ -100,7 +107,7 @@
         """
         if pool in self._owned or pool not in self._tree.pools:
             return
-        shard = Shard(pool, self._tree)
+        shard = Shard(pool, self._tree, self._policy)
         shard.share = share
         shard.set_runners(self._seats.get(pool, ()))
         until = self._clock.monotonic() + defaults.SETTLING_S
--- /dev/null
+++ b/src/anvilhall/policies.py
@@ -0,0 +1,46 @@
+"""Named policies: which of the mechanisms of a shard are at work.
+
+The daemon uses the default; the others switch one mechanism off each, so that
+a replay shows what it is worth.
+"""
+
+import msgspec
+
+from anvilhall.registry import Registry
+
+#: Name of the policy of the daemon.
+DEFAULT_POLICY = 'anvilhall'
+
+
+class Policy(msgspec.Struct, frozen=True, kw_only=True):
+    """Switches of the mechanisms."""
+
+    #: Strict order of tiers; without, classes share by weight alone.
+    tiers: bool = True
+    #: A class that has waited for its floor interval goes first.
+    floor: bool = True
+    #: Client accounts of a class share in virtual time.
+    fair_accounts: bool = True
+    #: Long requests may hold only part of a runner.
+    protect_short: bool = True
+    #: Runners observed to be slow or failing get single probes.
+    avoid_suspects: bool = True
+    #: Cached prompt prefixes count in the choice of a runner.
+    use_prefixes: bool = True
+    #: Slots are kept for high tiers while a schedule is active.
+    reserve: bool = True
+    #: Running requests may be paused for waiting ones of a higher tier.
+    pause: bool = True
+
+
+POLICIES: Registry[Policy] = Registry('policy')
+
+POLICIES.register(DEFAULT_POLICY)(Policy())
+POLICIES.register('no-tiers')(Policy(tiers=False))
+POLICIES.register('no-floor')(Policy(floor=False))
+POLICIES.register('no-fair-accounts')(Policy(fair_accounts=False))
+POLICIES.register('no-protect-short')(Policy(protect_short=False))
+POLICIES.register('no-avoid-suspects')(Policy(avoid_suspects=False))
+POLICIES.register('no-prefixes')(Policy(use_prefixes=False))
+POLICIES.register('no-reserve')(Policy(reserve=False))
+POLICIES.register('no-pause')(Policy(pause=False))
--- a/src/anvilhall/queues.py
+++ b/src/anvilhall/queues.py
@@ -10,13 +10,14 @@
 from collections.abc import Iterator
 
 from anvilhall.messages import Ask
+from anvilhall.policies import Policy
 from anvilhall.settings import ClassSettings
 
 
 class Waiting:
     """A request in the queue."""
 
-    __slots__ = ('ask', 'class_settings', 'expires_at', 'sender')
+    __slots__ = ('ask', 'class_settings', 'expires_at', 'line', 'sender')
 
     def __init__(
         self,
@@ -33,6 +34,8 @@
         self.ask = ask
         self.class_settings = class_settings
         self.expires_at = expires_at
+        #: Requests of one line are served in order of their deadlines.
+        self.line = ask.account
         self.sender = sender
 
     @property
@@ -119,10 +122,10 @@
         """Add a request of an account with a weight."""
         if not self.length:
             self.waiting_since = now
-        line = self._lines.get(waiting.ask.account)
+        line = self._lines.get(waiting.line)
         if line is None:
             line = _AccountLine(self._clock_floor, weight)
-            self._lines[waiting.ask.account] = line
+            self._lines[waiting.line] = line
         elif not line:
             line.virtual_time = max(line.virtual_time, self._clock_floor)
         line.push(waiting)
@@ -179,11 +182,12 @@
 class PoolQueue:
     """Waiting requests of all classes of one pool."""
 
-    __slots__ = ('_classes', '_virtual_now')
+    __slots__ = ('_classes', '_policy', '_virtual_now')
 
-    def __init__(self) -> None:
+    def __init__(self, policy: Policy) -> None:
         """Start empty."""
         self._classes: dict[str, ClassQueue] = {}
+        self._policy = policy
         self._virtual_now = 0.0
 
     def __len__(self) -> int:
@@ -202,6 +206,8 @@
         if queue is None:
             queue = ClassQueue(name, waiting.class_settings)
             self._classes[name] = queue
+        if not self._policy.fair_accounts:
+            waiting.line = ''
         queue.settings = waiting.class_settings
         if not queue.length:
             queue.virtual_time = max(queue.virtual_time, self._virtual_now)
@@ -210,10 +216,12 @@
     def list_turns(self, now: float) -> list[ClassQueue]:
         """Return the classes with waiting requests, next turn first."""
         busy = [queue for queue in self._classes.values() if queue.length]
-        overdue = [queue for queue in busy if queue.is_overdue(now)]
+        overdue: list[ClassQueue] = []
+        if self._policy.floor:
+            overdue = [queue for queue in busy if queue.is_overdue(now)]
         overdue.sort(key=_get_waiting_since)
-        others = [queue for queue in busy if not queue.is_overdue(now)]
-        others.sort(key=_get_turn)
+        others = [queue for queue in busy if queue not in overdue]
+        others.sort(key=_get_turn if self._policy.tiers else _get_share)
         return overdue + others
 
     def pop(self, queue: ClassQueue, now: float) -> Waiting:
@@ -268,5 +276,9 @@
     return queue.settings.tier, queue.virtual_time
 
 
+def _get_share(queue: ClassQueue) -> float:
+    return queue.virtual_time
+
+
 def _get_tier(queue: ClassQueue) -> int:
     return queue.settings.tier
--- /dev/null
+++ b/src/anvilhall/replay.py
@@ -0,0 +1,233 @@
+"""Replays a trace on virtual time with the daemon's own objects."""
+
+import asyncio
+import zlib
+from typing import Any
+
+import msgspec
+
+from anvilhall.baselines import BASELINES
+from anvilhall.jobs import Job
+from anvilhall.policies import DEFAULT_POLICY, POLICIES
+from anvilhall.scores import ReplayScore, score_replay
+from anvilhall.settings import JsonObject
+from anvilhall.traces import Trace, TraceEvent, TraceRequest
+from anvilhall.tree import Tree
+from anvilhall_standins.modelrunner import RunnerModel
+from anvilhall_standins.simfleet import (
+    CallRecord,
+    SimFleet,
+    attach_call,
+    attach_chat,
+)
+from anvilhall_standins.virtualloop import VirtualLoop, run_virtual
+
+#: Virtual seconds before the trace in which the instances find each other.
+WARM_UP_S = 5.0
+#: Virtual seconds after the last request in which the rest may end.
+REST_S = 400.0
+_BYTES_PER_TOKEN = 4
+#: Longest answer that callers accept, in tokens.
+_MAX_TOKENS = 4096
+#: Bytes that the JSON of one message has beside its text.
+_MESSAGE_BYTES = 30
+
+
+class Replay:
+    """One run of a trace under one policy.
+
+    :param settings: each team's part of the tree, by path.
+    :param policy: name of a policy or of a baseline.
+    :param seed: of all chance.
+    """
+
+    __slots__ = (
+        '_fleet',
+        '_loop',
+        '_policy',
+        '_records',
+        '_settings',
+        '_texts',
+        '_trace',
+    )
+
+    def __init__(
+        self,
+        trace: Trace,
+        settings: JsonObject,
+        policy: str,
+        seed: int,
+    ) -> None:
+        """Build the fleet."""
+        self._trace = trace
+        self._settings = settings
+        self._policy = policy
+        self._loop = VirtualLoop()
+        shard_policy = DEFAULT_POLICY if policy in BASELINES else policy
+        POLICIES.get(shard_policy)
+        self._fleet = SimFleet(
+            self._loop,
+            seed,
+            trace.header.start,
+            policy=shard_policy,
+        )
+        self._records: dict[str, CallRecord] = {}
+        self._texts: dict[int, str] = {}
+
+    def run(self) -> ReplayScore:
+        """Run the trace and score it."""
+        run_virtual(self._loop, self._run_trace())
+        return score_replay(
+            self._trace,
+            self._policy,
+            list(self._records.values()),
+            list(self._fleet.runners.values()),
+            self._find_tree(),
+        )
+
+    async def _run_trace(self) -> None:
+        self._add_runners()
+        for team, node in sorted(self._settings.items()):
+            self._fleet.publish(team, 0, node)
+        domains = self._trace.header.failure_domains
+        for place in range(self._trace.header.entry_instances):
+            self._fleet.add_instance(
+                f'entry-{place}',
+                domains[place % len(domains)],
+            )
+        await asyncio.sleep(WARM_UP_S)
+        self._use_baseline()
+        began = self._loop.time()
+        for event in self._trace.events:
+            self._loop.call_at(began + event.at_s, self._apply_event, event)
+        for request in sorted(self._trace.requests, key=_get_time):
+            await asyncio.sleep(
+                max(0, began + request.at_s - self._loop.time())
+            )
+            self._submit(request)
+        await self._wait_ended()
+
+    def _add_runners(self) -> None:
+        domains = self._trace.header.failure_domains
+        for pool in self._trace.header.pools:
+            for place in range(pool.runners):
+                name = f'{pool.name}-{place}'
+                domain = domains[place % len(domains)]
+                if pool.kind == 'service':
+                    self._fleet.add_service(name, pool.name, domain, pool.slots)
+                    continue
+                model = RunnerModel(
+                    slots=pool.slots,
+                    prefill_tokens_s=pool.prefill_tokens_s,
+                    step_base_ms=pool.step_base_ms,
+                    step_per_stream_ms=pool.step_per_stream_ms,
+                    cache_tokens=pool.cache_tokens,
+                )
+                self._fleet.add_runner(name, pool.name, domain, model)
+
+    def _use_baseline(self) -> None:
+        if self._policy not in BASELINES:
+            return
+        build = BASELINES.get(self._policy)
+        for instance in self._fleet.instances.values():
+            baseline: Any = build(self._fleet, self._trace.header)
+            instance.services.broker = baseline
+
+    def _submit(self, request: TraceRequest) -> None:
+        place = zlib.crc32(request.id.encode()) % (
+            self._trace.header.entry_instances
+        )
+        name = f'entry-{place}'
+        if name not in self._fleet.instances:
+            names = sorted(self._fleet.instances)
+            name = names[place % len(names)]
+        job = self._fleet.build_job(
+            name,
+            request.class_name,
+            request.account,
+            request.id,
+        )
+        if request.deadline_s is not None:
+            job.deadline_at = self._loop.time() + request.deadline_s
+        self._attach(job, request)
+        self._records[request.id] = self._fleet.submit(name, job)
+
+    def _attach(self, job: Job, request: TraceRequest) -> None:
+        if request.work_ms:
+            attach_call(job, request.key, f'work/{request.work_ms}')
+            return
+        for runner in self._fleet.runners.values():
+            runner.lengths[request.id] = request.output_tokens
+        attach_chat(job, self._build_body(request))
+
+    def _build_body(self, request: TraceRequest) -> bytes:
+        messages = []
+        own_tokens = request.prompt_tokens - request.prefix_tokens
+        if request.prefix_tokens:
+            shared = self._make_text(request.prefix, request.prefix_tokens)
+            messages.append({'role': 'system', 'content': shared})
+        text = self._make_text(request.id, own_tokens)
+        messages.append({'role': 'user', 'content': text})
+        return msgspec.json.encode(
+            {
+                'messages': messages,
+                'max_tokens': _MAX_TOKENS,
+                'stream': True,
+            },
+        )
+
+    def _make_text(self, start: str, tokens: int) -> str:
+        size = max(0, tokens * _BYTES_PER_TOKEN - _MESSAGE_BYTES - len(start))
+        filler = self._texts.setdefault(size, 'x' * size)
+        return f'{start} {filler}'
+
+    def _apply_event(self, event: TraceEvent) -> None:
+        fleet = self._fleet
+        runner: Any = fleet.runners.get(event.runner) or fleet.services.get(
+            event.runner,
+        )
+        if event.event == 'slow':
+            runner.slowdown = event.factor
+            self._loop.call_later(event.for_s, setattr, runner, 'slowdown', 1.0)
+        elif event.event == 'crash':
+            runner.crash()
+            self._loop.call_later(event.for_s, setattr, runner, 'up', True)
+        elif event.event == 'leave':
+            runner.leaving = True
+            fleet.membership.drop_late(event.runner)
+        elif event.event == 'hang_up':
+            self._hang_up(event.id)
+        elif event.event == 'log_out':
+            fleet.log.out = True
+            self._loop.call_later(event.for_s, setattr, fleet.log, 'out', False)
+        elif event.event == 'entry_crash':
+            fleet.crash_instance(f'entry-{event.entry}')
+
+    def _hang_up(self, request_id: str) -> None:
+        record = self._records.get(request_id)
+        if record and record.task:
+            record.task.cancel()
+
+    async def _wait_ended(self) -> None:
+        tasks = [
+            record.task for record in self._records.values() if record.task
+        ]
+        if tasks:
+            await asyncio.wait(tasks, timeout=REST_S)
+
+    def _find_tree(self) -> Tree:
+        return next(iter(self._fleet.instances.values())).gate.tree
+
+
+def run_replay(
+    trace: Trace,
+    settings: JsonObject,
+    policy: str = DEFAULT_POLICY,
+    seed: int = 1,
+) -> ReplayScore:
+    """Replay a trace under a policy and return its score."""
+    return Replay(trace, settings, policy, seed).run()
+
+
+def _get_time(request: TraceRequest) -> float:
+    return request.at_s
--- a/src/anvilhall/runners.py
+++ b/src/anvilhall/runners.py
@@ -3,6 +3,7 @@
 import collections
 
 from anvilhall.messages import Ask
+from anvilhall.policies import Policy
 from anvilhall.settings import Pool
 
 #: Shared prompt beginnings remembered for one runner.
@@ -58,6 +59,7 @@
 
     __slots__ = (
         '_failures',
+        '_policy',
         '_pool',
         '_prefixes',
         '_probe_at',
@@ -70,8 +72,15 @@
         'works',
     )
 
-    def __init__(self, name: str, address: str, pool: Pool) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        pool: Pool,
+        policy: Policy,
+    ) -> None:
         """Start healthy and idle."""
+        self._policy = policy
         self.name = name
         self.address = address
         self._pool = pool
@@ -89,6 +98,8 @@
     @property
     def suspect(self) -> bool:
         """Whether the runner gets single probes only."""
+        if not self._policy.avoid_suspects:
+            return False
         return self._failures > 0 or self.slowdown >= STRAGGLER_SLOWDOWN
 
     def set_pool(self, pool: Pool) -> None:
@@ -107,7 +118,9 @@
             return False
         if len(self.works) + spare_slots >= self._pool.slots:
             return False
-        return not work.long or self._has_room_for_long(work)
+        if not work.long or not self._policy.protect_short:
+            return True
+        return self._has_room_for_long(work)
 
     def predict_first_token_s(self, ask: Ask) -> float:
         """Predict the time to the first token of a further request."""
@@ -135,7 +148,7 @@
         self.works[work.request_id] = work
         if self.suspect:
             self._probing = work.request_id
-        if ask.prefix:
+        if ask.prefix and self._policy.use_prefixes:
             self._remember_prefix(ask.prefix, ask.prefix_tokens)
 
     def remove_work(self, request_id: str) -> Work | None:
--- /dev/null
+++ b/src/anvilhall/scores.py
@@ -0,0 +1,264 @@
+"""Scores of a replay: attainment, goodput, waste and waiting."""
+
+import collections
+import math
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from anvilhall.traces import Trace, TraceRequest
+from anvilhall.tree import Tree
+from anvilhall_standins.modelrunner import ModelRunner
+from anvilhall_standins.simfleet import CallRecord
+
+#: Share of an answer's gaps that must be within the target.
+_GAP_SHARE = 0.95
+#: Length of the busiest span that is scored apart, in seconds.
+BUSIEST_S = 10.0
+_MS_PER_S = 1000.0
+_DIGITS = 4
+
+
+class ClassScore(msgspec.Struct, kw_only=True):
+    """One class over the whole trace; times in milliseconds."""
+
+    requests: int
+    attained_share: float
+    delivered: int
+    #: Delivered whole, but not within the target.
+    late: int
+    refused: dict[str, int]
+    first_token_p50_ms: float | None
+    first_token_p95_ms: float | None
+    first_token_p99_ms: float | None
+    gap_p99_ms: float | None
+    #: Attained share of requests that arrived in the busiest span.
+    busiest_attained_share: float | None
+
+
+class ReplayScore(msgspec.Struct, kw_only=True):
+    """One replay."""
+
+    trace: str
+    policy: str
+    classes: dict[str, ClassScore]
+    #: Output tokens a second of requests that attained their target.
+    goodput_tokens_s: float
+    #: Share of prefill and decode tokens spent for nothing or twice.
+    wasted_share: float
+    #: Longest wait for a first token in the lowest tier, in seconds.
+    longest_lowest_wait_s: float
+    retries: int
+    busiest_from_s: float
+
+
+class _Outcome:
+    """What became of one request."""
+
+    __slots__ = ('attained', 'first_token_s', 'gaps', 'record', 'request')
+
+    def __init__(
+        self,
+        request: TraceRequest,
+        record: CallRecord,
+        tree: Tree,
+    ) -> None:
+        self.request = request
+        self.record = record
+        self.gaps: list[float] = []
+        self.first_token_s: float | None = None
+        times = record.event_times
+        if times:
+            self.first_token_s = times[0] - record.arrived_s
+            self.gaps = [
+                later - earlier
+                for earlier, later in zip(times, times[1:], strict=False)
+            ]
+        self.attained = self._judge(tree)
+
+    def _judge(self, tree: Tree) -> bool:
+        if not self.record.whole:
+            return False
+        target = tree.classes[self.request.class_name].target
+        took_s = self.record.ended_s - self.record.arrived_s
+        if target.done_ms and took_s * _MS_PER_S > target.done_ms:
+            return False
+        first_ms = (self.first_token_s or 0) * _MS_PER_S
+        if target.first_token_ms and first_ms > target.first_token_ms:
+            return False
+        if not target.gap_ms or not self.gaps:
+            return True
+        allowed_s = target.gap_ms / _MS_PER_S
+        within = sum(1 for gap in self.gaps if gap <= allowed_s)
+        return within >= _GAP_SHARE * len(self.gaps)
+
+
+def score_replay(
+    trace: Trace,
+    policy: str,
+    records: Sequence[CallRecord],
+    runners: Sequence[ModelRunner],
+    tree: Tree,
+) -> ReplayScore:
+    """Return the score of a replay from what callers and runners saw."""
+    by_id = {record.job.request_id: record for record in records}
+    outcomes = [
+        _Outcome(request, by_id[request.id], tree)
+        for request in trace.requests
+        if request.id in by_id
+    ]
+    busiest_from_s = _find_busiest(trace)
+    by_class: dict[str, list[_Outcome]] = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_class[outcome.request.class_name].append(outcome)
+    return ReplayScore(
+        trace=trace.header.name,
+        policy=policy,
+        classes={
+            name: _score_class(entries, busiest_from_s)
+            for name, entries in sorted(by_class.items())
+        },
+        goodput_tokens_s=_measure_goodput(outcomes),
+        wasted_share=_measure_waste(outcomes, runners),
+        longest_lowest_wait_s=_find_longest_wait(outcomes, tree),
+        retries=_count_retries(runners),
+        busiest_from_s=busiest_from_s,
+    )
+
+
+def find_percentile(numbers: Iterable[float], share: float) -> float | None:
+    """Return the smallest number that ``share`` of all do not exceed."""
+    ordered = sorted(numbers)
+    if not ordered:
+        return None
+    place = max(0, math.ceil(share * len(ordered)) - 1)
+    return ordered[place]
+
+
+def _score_class(
+    entries: list[_Outcome],
+    busiest_from_s: float,
+) -> ClassScore:
+    first = [
+        outcome.first_token_s
+        for outcome in entries
+        if outcome.first_token_s is not None
+    ]
+    gaps = [gap for outcome in entries for gap in outcome.gaps]
+    refused = collections.Counter(
+        outcome.record.error.code
+        for outcome in entries
+        if outcome.record.error is not None
+    )
+    busiest = [
+        outcome
+        for outcome in entries
+        if 0 <= outcome.request.at_s - busiest_from_s < BUSIEST_S
+    ]
+    delivered = sum(outcome.record.whole for outcome in entries)
+    attained = sum(outcome.attained for outcome in entries)
+    return ClassScore(
+        requests=len(entries),
+        attained_share=_round(attained / len(entries)),
+        delivered=delivered,
+        late=delivered - attained,
+        refused=dict(sorted(refused.items())),
+        first_token_p50_ms=_to_ms(find_percentile(first, 0.5)),
+        first_token_p95_ms=_to_ms(find_percentile(first, 0.95)),
+        first_token_p99_ms=_to_ms(find_percentile(first, 0.99)),
+        gap_p99_ms=_to_ms(find_percentile(gaps, 0.99)),
+        busiest_attained_share=_share_attained(busiest),
+    )
+
+
+def _share_attained(entries: list[_Outcome]) -> float | None:
+    if not entries:
+        return None
+    return _round(sum(entry.attained for entry in entries) / len(entries))
+
+
+def _find_busiest(trace: Trace) -> float:
+    arrivals = sorted(request.at_s for request in trace.requests)
+    best_from = 0.0
+    best = 0
+    last = 0
+    for first, start in enumerate(arrivals):
+        while last < len(arrivals) and arrivals[last] < start + BUSIEST_S:
+            last += 1
+        if last - first > best:
+            best = last - first
+            best_from = start
+    return best_from
+
+
+def _measure_goodput(outcomes: list[_Outcome]) -> float:
+    if not outcomes:
+        return 0.0
+    began = min(outcome.record.arrived_s for outcome in outcomes)
+    ended = max(outcome.record.ended_s for outcome in outcomes)
+    tokens = sum(
+        len(outcome.record.event_times)
+        for outcome in outcomes
+        if outcome.attained
+    )
+    return _round(tokens / max(ended - began, 1.0))
+
+
+def _measure_waste(
+    outcomes: list[_Outcome],
+    runners: Sequence[ModelRunner],
+) -> float:
+    spent = sum(runner.prefill_done + runner.tokens_done for runner in runners)
+    if not spent:
+        return 0.0
+    useful = sum(
+        len(outcome.record.event_times)
+        for outcome in outcomes
+        if outcome.record.whole
+    )
+    useful_prefill = 0.0
+    started = collections.Counter(
+        request_id for runner in runners for request_id in runner.started
+    )
+    for outcome in outcomes:
+        count = started[outcome.request.id]
+        if outcome.record.whole and count:
+            cost = sum(
+                runner.prefill_by_request.get(outcome.request.id, 0.0)
+                for runner in runners
+            )
+            useful_prefill += cost / count
+    return _round(max(0.0, 1 - (useful + useful_prefill) / spent))
+
+
+def _find_longest_wait(outcomes: list[_Outcome], tree: Tree) -> float:
+    tiers = {
+        outcome.request.class_name: tree.classes[
+            outcome.request.class_name
+        ].tier
+        for outcome in outcomes
+    }
+    lowest = max(tiers.values(), default=0)
+    waits = [
+        outcome.first_token_s
+        for outcome in outcomes
+        if outcome.first_token_s is not None
+        and tiers[outcome.request.class_name] == lowest
+    ]
+    return _round(max(waits, default=0.0))
+
+
+def _count_retries(runners: Sequence[ModelRunner]) -> int:
+    started = sum(len(runner.started) for runner in runners)
+    ids = {request_id for runner in runners for request_id in runner.started}
+    return started - len(ids)
+
+
+def _to_ms(seconds: float | None) -> float | None:
+    if seconds is None:
+        return None
+    return round(seconds * _MS_PER_S, 1)
+
+
+def _round(number: float) -> float:
+    return round(number, _DIGITS)
--- a/src/anvilhall/shard.py
+++ b/src/anvilhall/shard.py
@@ -27,6 +27,7 @@
     Refusal,
     Release,
 )
+from anvilhall.policies import DEFAULT_POLICY, POLICIES, Policy
 from anvilhall.queues import ClassQueue, PoolQueue, Waiting
 from anvilhall.runners import Runner, Work
 from anvilhall.schedules import is_active
@@ -54,6 +55,7 @@
 
     __slots__ = (
         '_admission',
+        '_policy',
         '_pool',
         '_pool_name',
         '_queue',
@@ -64,11 +66,17 @@
         'share',
     )
 
-    def __init__(self, pool_name: str, tree: Tree) -> None:
+    def __init__(
+        self,
+        pool_name: str,
+        tree: Tree,
+        policy: Policy | None = None,
+    ) -> None:
         """Start with no runners."""
+        self._policy = policy or POLICIES.get(DEFAULT_POLICY)
         self._pool_name = pool_name
         self.runners: dict[str, Runner] = {}
-        self._queue = PoolQueue()
+        self._queue = PoolQueue(self._policy)
         self._admission = Admission()
         self._senders: dict[str, str] = {}
         self.paused: set[str] = set()
@@ -116,7 +124,12 @@
         for seat in wanted.values():
             runner = self.runners.get(seat.name)
             if runner is None or runner.address != seat.address:
-                runner = Runner(seat.name, seat.address, self._pool)
+                runner = Runner(
+                    seat.name,
+                    seat.address,
+                    self._pool,
+                    self._policy,
+                )
                 self.runners[seat.name] = runner
             runner.leaving = seat.leaving
 
@@ -322,7 +335,7 @@
     def _pause_for_waiting(self, now: float) -> list[Action]:
         """Ask the lowest preemptible request to yield to a waiting tier 0."""
         turns = self._queue.list_turns(now)
-        if not turns:
+        if not turns or not self._policy.pause:
             return []
         tier = min(queue.settings.tier for queue in turns)
         victims = [
@@ -345,6 +358,8 @@
         return settings.preemptible and settings.resumable
 
     def _count_spare_slots(self, tier: int, wall: dt.datetime) -> int:
+        if not self._policy.reserve:
+            return 0
         schedules = self._tree.schedules if self._pool.reserves else {}
         return sum(
             reserve.slots_per_runner
--- a/src/anvilhall_standins/modelrunner.py
+++ b/src/anvilhall_standins/modelrunner.py
@@ -28,6 +28,7 @@
 #: Prompt tokens taken between two decode steps.
 _CHUNK_TOKENS = 512
 _BYTES_PER_TOKEN = 4
+_UNLIMITED = 1 << 30
 
 
 class RunnerModel(msgspec.Struct, frozen=True):
@@ -60,6 +61,7 @@
         request_id: str,
         body: ChatRequest,
         sink: Callable[[bytes], None],
+        length: int,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.request_id = request_id
@@ -67,7 +69,7 @@
         seed, done = read_prompt(body)
         self.seed = seed
         self.done = done
-        self.limit = done + body.max_tokens
+        self.limit = min(done + body.max_tokens, max(length, done + 1))
         self.ended: asyncio.Future[int] = loop.create_future()
         sizes = [len(msgspec.json.encode(part)) for part in body.messages]
         self.prefill_left = float(sum(sizes) // _BYTES_PER_TOKEN)
@@ -88,7 +90,9 @@
         '_sequence',
         '_streams',
         'leaving',
+        'lengths',
         'model',
+        'prefill_by_request',
         'prefill_done',
         'slowdown',
         'started',
@@ -105,8 +109,12 @@
         #: Tokens read and made so far, for the measure of wasted work.
         self.prefill_done = 0.0
         self.tokens_done = 0
+        self.prefill_by_request: dict[str, float] = {}
         #: Identifiers of the requests started, in order.
         self.started: list[str] = []
+        #: Tokens of the answers by request, where they are not the most that
+        #: the caller accepts.
+        self.lengths: dict[str, int] = {}
         self._streams: list[_Stream] = []
         self._line: list[tuple[int, int, _Stream]] = []
         self._sequence = itertools.count()
@@ -149,7 +157,9 @@
         if self.leaving:
             return _HTTP_UNAVAILABLE
         body = msgspec.json.decode(call.body or b'', type=ChatRequest)
-        stream = _Stream(call.headers['X-Request-Id'], body, sink)
+        request_id = call.headers['X-Request-Id']
+        length = self.lengths.get(request_id, _UNLIMITED)
+        stream = _Stream(request_id, body, sink, length)
         heapq.heappush(
             self._line,
             (body.priority, next(self._sequence), stream),
@@ -217,10 +227,15 @@
         for stream in self._streams:
             taken = min(left, max(0.0, stream.prefill_left))
             stream.prefill_left -= taken
-            self.prefill_done += taken
+            self._count_prefill(stream, taken)
             left -= taken
         return _CHUNK_TOKENS - left
 
+    def _count_prefill(self, stream: _Stream, taken: float) -> None:
+        self.prefill_done += taken
+        before = self.prefill_by_request.get(stream.request_id, 0)
+        self.prefill_by_request[stream.request_id] = before + taken
+
     def _emit(self, stream: _Stream) -> None:
         self.tokens_done += 1
         word = make_word(stream.seed, stream.done)
--- a/src/anvilhall_standins/simfleet.py
+++ b/src/anvilhall_standins/simfleet.py
@@ -14,6 +14,7 @@
 from anvilhall.local import Listen, LocalConfig, Platform, Timings
 from anvilhall.memberlist import Member
 from anvilhall.outbound import Reply
+from anvilhall.policies import DEFAULT_POLICY
 from anvilhall.publication import SETTINGS_STREAM, Publication
 from anvilhall_standins.modelrunner import (
     ModelRunner,
@@ -82,6 +83,7 @@
     """
 
     __slots__ = (
+        '_policy',
         '_sequence',
         '_timings',
         'chance',
@@ -104,6 +106,7 @@
         start: dt.datetime,
         timings: Timings | None = None,
         list_lag_s: float = 1.0,
+        policy: str = DEFAULT_POLICY,
     ) -> None:
         """Start empty."""
         self.loop = loop
@@ -118,6 +121,7 @@
         self.services: dict[str, ServiceRunner] = {}
         self.records: list[CallRecord] = []
         self._timings = timings or Timings()
+        self._policy = policy
         self._sequence = 0
 
     def add_runner(
@@ -153,6 +157,7 @@
             platform=Platform(log_url='', membership_url=''),
             peer_key='',
             timings=self._timings,
+            policy=self._policy,
         )
         surroundings = Surroundings(
             clock=self.clock,
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -9,12 +9,11 @@
 
 from anvilhall import execution as execution_module
 from anvilhall import retries as retries_module
+from anvilhall import upstreams as upstreams_module
 from anvilhall.claims import ClaimKeeper
 from anvilhall.execution import Execution
-from anvilhall.follower import SettingsFollower
 from anvilhall.ledger import Entry, KeyState, Ledger
-from anvilhall.messages import SettingsAsk
-from anvilhall.publication import SettingsState, Snapshot
+from anvilhall.publication import SettingsState
 from tests.machine import FleetMachine
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '25'))
@@ -98,18 +97,15 @@
     )
 
 
-def _take_older_settings(monkeypatch):
-    def take_heartbeat(self, sender, message):
-        if message.settings_covers < self.state.covers:
-            self._fleet.send(sender, SettingsAsk(-1))
+def _continue_with_the_whole_length(monkeypatch):
+    original = upstreams_module._continue_answer
 
-    def take_offer(self, _, message):
-        snapshot = msgspec.json.decode(message.snapshot, type=Snapshot)
-        self.state.covers = snapshot.covers
-        self.state.version = snapshot.version
+    def continue_answer(job, answer):
+        fields = original(job, answer)
+        fields.pop('max_tokens')
+        return fields
 
-    monkeypatch.setattr(SettingsFollower, '_take_heartbeat', take_heartbeat)
-    monkeypatch.setattr(SettingsFollower, '_take_offer', take_offer)
+    monkeypatch.setattr(upstreams_module, '_continue_answer', continue_answer)
 
 
 def _judge_races_by_instance(monkeypatch):
@@ -148,7 +144,7 @@
     _settle_uncertain_as_not_run,
     _continue_from_the_start,
     _call_cut_answers_not_run,
-    _take_older_settings,
+    _continue_with_the_whole_length,
     _judge_races_by_instance,
     _forget_claims_early,
 ]
--- /dev/null
+++ b/tools/compare.py
@@ -0,0 +1,62 @@
+"""Replays traces under policies and prints a table; runs in parallel.
+
+Usage: python -m tools.compare SITE KINDS POLICIES, each list with commas.
+"""
+
+import concurrent.futures
+import pathlib
+import sys
+from typing import Any
+
+import msgspec
+
+from anvilhall.replay import run_replay
+from anvilhall.scores import ReplayScore
+from anvilhall.traces import Trace
+
+WORKERS = 5
+
+
+def replay(job: tuple[str, str, str]) -> ReplayScore:
+    """Run one replay."""
+    site, kind, policy = job
+    folder = pathlib.Path('examples', site)
+    settings: Any = msgspec.json.decode(
+        (folder / 'settings.json').read_bytes(),
+    )
+    trace = Trace.from_file(folder / 'traces' / f'{kind}.jsonl')
+    return run_replay(trace, settings, policy, 1)
+
+
+def print_score(score: ReplayScore) -> None:
+    """Print one score."""
+    print(
+        f'{score.trace:22} {score.policy:18} '
+        f'goodput {score.goodput_tokens_s:6.0f} '
+        f'wasted {score.wasted_share:.4f} '
+        f'lowest waits {score.longest_lowest_wait_s:6.1f} s '
+        f'retries {score.retries}',
+    )
+    for name, entry in score.classes.items():
+        if entry.first_token_p99_ms is None:
+            continue
+        print(
+            f'    {name:20} n {entry.requests:5} '
+            f'attained {entry.attained_share:.3f} '
+            f'busiest {entry.busiest_attained_share} '
+            f'p50 {entry.first_token_p50_ms:7.0f} '
+            f'p99 {entry.first_token_p99_ms:7.0f} '
+            f'gap p99 {entry.gap_p99_ms:5.0f} refused {entry.refused}',
+        )
+
+
+def compare(site: str, kinds: list[str], policies: list[str]) -> None:
+    """Replay every trace under every policy."""
+    jobs = [(site, kind, policy) for kind in kinds for policy in policies]
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        for score in pool.map(replay, jobs):
+            print_score(score)
+
+
+if __name__ == '__main__':
+    compare(sys.argv[1], sys.argv[2].split(','), sys.argv[3].split(','))
