Let one owner serve the runners of a region while its domains see each other

Cause: with an owner for each failure domain, a domain had two runners; one slow, crashed or busy with a dossier halved it, and arrivals were uneven.

Ruled out: summaries of load between owners with spill-over (more messages, and stale by their interval); power of two choices on lagging reports (the baseline "least reported" shows what that gives).

Change: membership and ownership span the region. Domains that are cut off see only themselves, and so own the runners that they reach.

--- a/src/anvilhall/broker.py
+++ b/src/anvilhall/broker.py
@@ -38,9 +38,9 @@
 Forward = Callable[[str, OwnerMessage], None]
 #: Name under which the fall-back shards deliver.
 _FALLBACK = ''
-#: Seconds in the own domain's queue after which other domains are asked.
+#: Seconds in the own region's queue after which other regions are asked.
 SPILL_AFTER_S = 0.25
-#: Refusals after which another failure domain is asked.
+#: Refusals after which another region is asked.
 _SPILL_CODES = frozenset((NoRunner.code, Overloaded.code, NOT_OWNER))
 
 
@@ -68,7 +68,7 @@
         self.asked_at = now
         #: Instance that has the request in its queue; ``None``: nobody.
         self.target: str | None = None
-        #: Owners in other domains that remain to be asked; ``None``: not yet
+        #: Owners in other regions that remain to be asked; ``None``: not yet
         #: looked up.
         self.foreign: list[str] | None = None
 
@@ -188,7 +188,7 @@
         self.tick()
 
     def list_inventory(self, pool: str) -> Inventory:
-        """Return what this instance has running in the own domain's shard."""
+        """Return what this instance has running in the own region's shard."""
         seats = {seat.name for seat in self._directory.list_seats(pool)}
         held = tuple(
             _describe_held(running)
@@ -198,7 +198,7 @@
         return Inventory(pool=pool, held=held)
 
     def report_inventory(self, pool: str) -> None:
-        """Tell the owner of the own domain's shard what is running."""
+        """Tell the owner of the own region's shard what is running."""
         owner = self._owners.get(pool)
         if owner is None or owner == self._name:
             return
@@ -251,7 +251,7 @@
         self._fallback.handle(self._name, pending.ask)
 
     def _spill(self, pending: _Pending) -> bool:
-        """Ask the next owner in another domain; return whether one was."""
+        """Ask the next owner in another region; return whether one was."""
         if pending.foreign is None:
             owners = self._directory.list_foreign_owners(pending.ask.pool)
             pending.foreign = owners
--- a/src/anvilhall/directory.py
+++ b/src/anvilhall/directory.py
@@ -18,24 +18,28 @@
 
 
 class Directory:
-    """The platform's list joined with the view of the own failure domain.
+    """The platform's list joined with the view of the own region.
+
+    The runners of a pool in one region form a shard while the instances of its
+    failure domains see each other. A domain that is cut off has a view of its
+    own, and so an owner of its own for the runners that it reaches.
 
     :param instance: name of this instance.
-    :param failure_domain: its failure domain.
+    :param region: its region.
     """
 
-    __slots__ = ('_domain', '_instance', '_live', '_members')
+    __slots__ = ('_instance', '_live', '_members', '_region')
 
-    def __init__(self, instance: str, failure_domain: str) -> None:
+    def __init__(self, instance: str, region: str) -> None:
         """Start knowing of this instance only."""
         self._instance = instance
-        self._domain = failure_domain
+        self._region = region
         self._live = [instance]
         self._members: dict[str, Member] = {}
 
     @property
     def live(self) -> list[str]:
-        """Live instances of the own domain."""
+        """Live instances of the own region."""
         return self._live
 
     def set_list(self, listed: MemberList) -> None:
@@ -43,7 +47,7 @@
         self._members = {member.name: member for member in listed.members}
 
     def set_live(self, live: list[str]) -> None:
-        """Take over the view of the own domain's live instances."""
+        """Take over the view of the own region's live instances."""
         self._live = live
 
     def get_address(self, instance: str) -> str | None:
@@ -51,53 +55,72 @@
         member = self._members.get(instance)
         return member.address if member else None
 
-    def list_domain_instances(self) -> set[str]:
-        """Return the listed entry instances of the own domain."""
-        return set(self._list_entries(self._domain))
+    def list_region_instances(self) -> set[str]:
+        """Return the listed entry instances of the own region."""
+        return set(self._list_entries(self._region))
 
     def list_seats(self, pool: str) -> list[Seat]:
-        """Return the runners of a pool in the own domain."""
+        """Return the runners of a pool in the own region.
+
+        Left out are those of domains whose instances all are out of reach.
+        """
+        unreached = self._find_unreached()
         return [
             Seat(member.name, member.address, member.leaving)
             for member in self._members.values()
-            if member.pool == pool and member.failure_domain == self._domain
+            if member.pool == pool
+            and member.region == self._region
+            and member.failure_domain not in unreached
         ]
 
     def find_owner(self, pool: str) -> str | None:
-        """Return the owner of the own domain's shard of a pool.
+        """Return the owner of the own region's shard of a pool.
 
-        :return: ``None`` if the domain has no live runner of the pool.
+        :return: ``None`` if the region has no live runner of the pool.
         """
         if not any(not seat.leaving for seat in self.list_seats(pool)):
             return None
-        return rank_owners(self._live, _name_shard(pool, self._domain))[0]
+        return rank_owners(self._live, _name_shard(pool, self._region))[0]
 
     def list_foreign_owners(self, pool: str) -> list[str]:
-        """Return the presumed owners in other domains, nearest rank first."""
-        domains = {
-            member.failure_domain
+        """Return the presumed owners in other regions, by rank."""
+        regions = {
+            member.region
             for member in self._members.values()
             if member.pool == pool and not member.leaving
-        } - {self._domain}
-        ranked = rank_owners(domains, f'{self._domain}/{pool}')
+        } - {self._region}
         owners: list[str] = []
-        for domain in ranked:
-            entries = self._list_entries(domain)
-            owners.extend(rank_owners(entries, _name_shard(pool, domain))[:2])
+        for region in rank_owners(regions, f'{self._region}/{pool}'):
+            entries = self._list_entries(region)
+            owners.extend(rank_owners(entries, _name_shard(pool, region))[:2])
         return owners
 
-    def _list_entries(self, domain: str) -> list[str]:
+    def _find_unreached(self) -> set[str]:
+        """Return domains with listed instances of which none is live."""
+        listed: set[str] = set()
+        reached: set[str] = set()
+        for name in self._list_entries(self._region):
+            domain = self._members[name].failure_domain
+            listed.add(domain)
+            if name in self._live:
+                reached.add(domain)
+        own = self._members.get(self._instance)
+        if own:
+            reached.add(own.failure_domain)
+        return listed - reached
+
+    def _list_entries(self, region: str) -> list[str]:
         return [
             member.name
             for member in self._members.values()
             if not member.pool
             and not member.leaving
-            and member.failure_domain == domain
+            and member.region == region
         ]
 
 
-def _name_shard(pool: str, domain: str) -> str:
-    return f'{domain}/{pool}'
+def _name_shard(pool: str, region: str) -> str:
+    return f'{region}/{pool}'
 
 
 def _weigh(name: str, shard: str) -> tuple[bytes, str]:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -51,12 +51,12 @@
         '_clock',
         '_config',
         '_directory',
-        '_domains',
         '_gone_at',
         '_handlers',
         '_links',
         '_membership',
         '_metrics',
+        '_regions',
         '_tree',
         'broker',
         'get_covers',
@@ -75,13 +75,13 @@
         self._metrics = metrics
         self._tree = Tree({})
         self._handlers: dict[type[Message], Handler] = {}
-        #: Failure domains of instances that have had a link.
-        self._domains: dict[str, str] = {}
+        #: Regions of instances that have had a link.
+        self._regions: dict[str, str] = {}
         #: When the last link to a foreign instance went down.
         self._gone_at: dict[str, float] = {}
         #: Returns the offset up to which settings have been folded.
         self.get_covers: Callable[[], int] = _know_nothing
-        self._directory = Directory(config.instance, config.failure_domain)
+        self._directory = Directory(config.instance, config.region)
         self._membership = Membership(
             config.instance,
             int(clock.now().timestamp() * _MS_PER_S),
@@ -107,7 +107,7 @@
 
     @property
     def live(self) -> list[str]:
-        """Live instances of the own failure domain."""
+        """Live instances of the own region."""
         return self._directory.live
 
     @property
@@ -145,7 +145,7 @@
         """Take over the platform's list."""
         self._directory.set_list(listed)
         self._membership.note_list(
-            self._directory.list_domain_instances(),
+            self._directory.list_region_instances(),
             self._clock.monotonic(),
         )
         self._follow_view()
@@ -192,9 +192,9 @@
 
     def _note_up(self, hello: Hello) -> None:
         name = hello.instance
-        self._domains[name] = hello.failure_domain
+        self._regions[name] = hello.region
         self._gone_at.pop(name, None)
-        if hello.failure_domain == self._config.failure_domain:
+        if hello.region == self._config.region:
             now = self._clock.monotonic()
             known = self._membership.note_life(name, hello.incarnation, now)
             self._spread(known)
@@ -206,7 +206,7 @@
         if name in self._links.names:
             return
         self.broker.drop_link(name)
-        if self._domains.get(name) != self._config.failure_domain:
+        if self._regions.get(name) != self._config.region:
             self._gone_at[name] = self._clock.monotonic()
 
     def _take_message(self, sender: str, message: Message) -> None:
@@ -225,7 +225,7 @@
     def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         if not heartbeat.answer:
             self._try_send(sender, self._build_heartbeat(answer=True))
-        if self._domains.get(sender) != self._config.failure_domain:
+        if self._regions.get(sender) != self._config.region:
             return
         now = self._clock.monotonic()
         was_live = sender in self._membership.live
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -375,6 +375,7 @@
     def _introduce(self, nonce: str) -> Hello:
         unsigned = Hello(
             instance=self._config.instance,
+            region=self._config.region,
             failure_domain=self._config.failure_domain,
             incarnation=self._get_incarnation(),
             protocol=PROTOCOL_VERSION,
--- a/src/anvilhall/memberlist.py
+++ b/src/anvilhall/memberlist.py
@@ -28,6 +28,7 @@
     #: Pool of an upstream; empty for an entry instance.
     pool: str = ''
     leaving: bool = False
+    region: str = ''
 
 
 class MemberList(msgspec.Struct, frozen=True):
--- a/src/anvilhall/membership.py
+++ b/src/anvilhall/membership.py
@@ -1,8 +1,8 @@
-"""Which instances of a failure domain are alive, as one of them sees it.
+"""Which instances of a region are alive, as one of them sees it.
 
 Each instance watches a few others over links: those that follow it on a ring
 of names at distances that are powers of two. So the cost for each instance
-grows with the logarithm of the domain's size, and news reaches all in as many
+grows with the logarithm of the region's size, and news reaches all in as many
 steps. The platform's lagging list only introduces instances.
 """
 
@@ -99,7 +99,7 @@
         return watched
 
     def note_list(self, names: set[str], now: float) -> None:
-        """Take in the platform's list of this domain's instances."""
+        """Take in the platform's list of this region's instances."""
         for name in names - {self.name}:
             if name not in self._peers:
                 self._peers[name] = _Peer(0, now)
--- a/src/anvilhall/messages.py
+++ b/src/anvilhall/messages.py
@@ -121,6 +121,7 @@
     """States and proves who the sender is; each side sends one."""
 
     instance: str
+    region: str
     failure_domain: str
     #: Rises with each start of the instance.
     incarnation: int
--- a/src/anvilhall/operators.py
+++ b/src/anvilhall/operators.py
@@ -29,7 +29,7 @@
     #: Number of accepted publications by team.
     teams: dict[str, int]
     open_requests: int
-    #: Live instances of the own failure domain.
+    #: Live instances of the own region.
     live: list[str]
     #: Instances with an open link.
     linked: list[str]
--- a/src/anvilhall/owner.py
+++ b/src/anvilhall/owner.py
@@ -87,7 +87,7 @@
                 self.resign(pool)
 
     def set_seats(self, pool: str, seats: Iterable[Seat]) -> None:
-        """Take over the runners of a pool in this failure domain."""
+        """Take over the runners of a pool in this region."""
         self._seats[pool] = tuple(seats)
         owned = self._owned.get(pool)
         if owned:
--- a/src/anvilhall/shard.py
+++ b/src/anvilhall/shard.py
@@ -1,4 +1,4 @@
-"""The owner's side of one shard: the runners of one pool in one domain.
+"""The owner's side of one shard: the runners of one pool in one region.
 
 No input or output and no clock: callers pass the time in, and get back the
 actions to carry out.
@@ -51,7 +51,7 @@
 
 
 class Shard:
-    """Queue, slot accounts and limits of one pool in one failure domain."""
+    """Queue, slot accounts and limits of one pool in one region."""
 
     __slots__ = (
         '_admission',
@@ -114,7 +114,7 @@
             runner.set_pool(self._pool)
 
     def set_runners(self, seats: Iterable[Seat]) -> None:
-        """Take over the membership list's view of the pool in this domain."""
+        """Take over the membership list's view of the pool in this region."""
         wanted = {seat.name: seat for seat in seats}
         for name in list(self.runners):
             if name not in wanted:
--- a/src/anvilhall_standins/listserver.py
+++ b/src/anvilhall_standins/listserver.py
@@ -30,6 +30,7 @@
     failure_domain: str
     pool: str = ''
     leaving: bool = False
+    region: str = ''
 
 
 class Listing:
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -204,6 +204,7 @@
         """Open a link: both sides learn of each other."""
         hello = Hello(
             instance=other._config.instance,
+            region=other._config.region,
             failure_domain=other._config.failure_domain,
             incarnation=other._get_incarnation(),
             protocol=PROTOCOL_VERSION,
