Never call a request not run when an earlier attempt may have run it

Measured: the fuzzer's steps as a test, red before and green after; 53 tests pass beside the fuzzer's.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -20,10 +20,12 @@
     AnvilhallError,
     DeadlineExceeded,
     DeadlinePassed,
+    Outcome,
     Paused,
     RequestRefused,
     RunUncertain,
     UpstreamCut,
+    UpstreamFailed,
     UpstreamGarbled,
     UpstreamRefused,
     UpstreamStalled,
@@ -127,8 +129,8 @@
         '_avoid',
         '_claim',
         '_job',
+        '_may_have_run',
         '_runs',
-        '_sent',
         '_services',
         '_sink',
         '_wire',
@@ -143,8 +145,8 @@
         self._arrived_at = services.clock.monotonic()
         #: Failed attempts so far.
         self._attempts = 0
-        #: Whether any upstream may have seen the request.
-        self._sent = False
+        #: Whether an attempt that failed may have run the request.
+        self._may_have_run = False
         self._avoid: tuple[str, ...] = ()
         self._claim: Claim | None = None
         #: Runs of events passed on, kept for as long as they may be needed
@@ -162,7 +164,7 @@
             async with asyncio.timeout(remaining_s):
                 await self._try_attempts()
         except TimeoutError as error:
-            if self._sent:
+            if self._may_have_run:
                 raise self._describe_partial(DeadlineExceeded()) from error
             raise DeadlinePassed from error
         finally:
@@ -189,13 +191,17 @@
             await self._claim_key()
             ticket.bind(attempt.transfer)
             await self._transfer(attempt)
+        except asyncio.CancelledError:
+            self._may_have_run = self._may_have_run or attempt.transfer.sent
+            raise
         except AnvilhallError as error:
+            if error.outcome is not Outcome.NOT_RUN:
+                self._may_have_run = True
             if ticket.paused:
                 raise Paused from error
             self._note_failure(attempt, error)
             raise
         finally:
-            self._sent = self._sent or attempt.transfer.sent
             attempt.close()
 
     def _note_failure(self, attempt: '_Attempt', error: AnvilhallError) -> None:
@@ -229,7 +235,7 @@
         claim = self._claim
         if claim is None:
             return
-        if not self._sent:
+        if not self._may_have_run:
             self._services.claims.settle(claim, ran=False)
         else:
             self._services.claims.abandon(claim)
@@ -279,9 +285,17 @@
 
     def _describe_partial(self, error: AnvilhallError) -> AnvilhallError:
         if not self._runs:
-            return error
+            return self._describe_unseen(error)
         return AnswerCut(f'{error.code}: {error.reason}')
 
+    def _describe_unseen(self, error: AnvilhallError) -> AnvilhallError:
+        """Keep "not run" for requests of which no attempt may have run."""
+        if error.outcome is Outcome.NOT_RUN and self._may_have_run:
+            return UpstreamFailed(
+                f'an earlier attempt may have run; then {error.code}',
+            )
+        return error
+
 
 class _Attempt:
     """One grant's use: the exchange with one runner."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from anvilhall.exceptions import Outcome
 from anvilhall_standins.virtualloop import run_virtual
 from tests.simulated import (
     is_right,
@@ -216,6 +217,23 @@
     run_virtual(loop, scenario())
 
 
+def test_refusal_after_an_attempt_that_ran_is_not_called_not_run(root_json):
+    """Found by the fuzzer: the second attempt's refusal hid the first's run."""
+    loop, fleet = open_fleet(root_json, runners=1)
+
+    async def scenario():
+        start_instances(fleet, per_domain=1)
+        await asyncio.sleep(3)
+        record = submit_chat(fleet, 'entry-0-0', 'question', max_tokens=1)
+        await asyncio.sleep(0.004)
+        fleet.runners['chat-0-0'].crash()
+        await asyncio.sleep(100)
+        assert fleet.runners['chat-0-0'].started == [record.job.request_id]
+        assert record.error.outcome is Outcome.MAY_HAVE_RUN
+
+    run_virtual(loop, scenario())
+
+
 def _find_member(fleet, name, *, leaving):
     member = fleet.membership.get(name)
     return msgspec.structs.replace(member, leaving=leaving)
