Keep the prefill of lower tiers away from short streams

Cause: gaps beyond the target came from prefill beside them: engines take 512 prompt tokens (85 ms) between two decode steps. And every waiting request of a higher tier paused one of the lowest, whose prompt was then read again.

Change: tier 0 fills the runners from the first on, the others from the last; on a runner with streams of a higher tier, prefill that would break their gap target is admitted at a bounded rate; a pause comes only after half of the waiting request's target. Limits and fairness charge the learned output length instead of the caller's limit.

--- a/src/anvilhall/admission.py
+++ b/src/anvilhall/admission.py
@@ -1,5 +1,6 @@
 """Whether a request fits the limits of its client account and class."""
 
+from anvilhall.estimates import OutputLengths
 from anvilhall.exceptions import AccountLimited, ClassLimited
 from anvilhall.limits import Meter
 from anvilhall.messages import Ask
@@ -12,13 +13,14 @@
 class Admission:
     """Meters of the accounts and classes that one shard has seen."""
 
-    __slots__ = ('_accounts', '_by_account', '_by_class')
+    __slots__ = ('_accounts', '_by_account', '_by_class', '_lengths')
 
     def __init__(self) -> None:
         """Start without settings."""
         self._accounts: dict[str, Account] = {}
         self._by_account: dict[str, Meter] = {}
         self._by_class: dict[str, Meter] = {}
+        self._lengths = OutputLengths()
 
     def set_tree(self, tree: Tree) -> None:
         """Take over changed settings."""
@@ -38,7 +40,7 @@
         :raises AccountLimited: with the time after which it would fit.
         :raises ClassLimited: likewise.
         """
-        tokens = ask.prompt_tokens + ask.max_tokens
+        tokens = self.estimate_tokens(ask)
         meter = self._by_account.setdefault(ask.account, Meter())
         limits = self._get_account(ask.account).limits
         wait_s = meter.wait_s(limits, tokens, now)
@@ -51,10 +53,22 @@
 
     def admit(self, ask: Ask) -> None:
         """Charge a request that was checked."""
-        tokens = ask.prompt_tokens + ask.max_tokens
+        tokens = self.estimate_tokens(ask)
         self._by_account[ask.account].admit(tokens)
         self._by_class[ask.class_name].admit(tokens)
 
+    def estimate_tokens(self, ask: Ask) -> int:
+        """Return the tokens that a request is expected to use."""
+        return ask.prompt_tokens + self._lengths.estimate(
+            ask.class_name,
+            ask.account,
+            ask.max_tokens,
+        )
+
+    def note_length(self, class_name: str, account: str, tokens: int) -> None:
+        """Learn from the length of a whole answer."""
+        self._lengths.note(class_name, account, tokens)
+
     def adopt(self, account: str, class_name: str) -> None:
         """Count a request that an earlier owner has charged."""
         self._by_account.setdefault(account, Meter()).admit(0)
--- a/src/anvilhall/queues.py
+++ b/src/anvilhall/queues.py
@@ -17,32 +17,39 @@
 class Waiting:
     """A request in the queue."""
 
-    __slots__ = ('ask', 'class_settings', 'expires_at', 'line', 'sender')
+    __slots__ = (
+        'arrived_at',
+        'ask',
+        'class_settings',
+        'cost_tokens',
+        'expires_at',
+        'line',
+        'sender',
+    )
 
     def __init__(
         self,
         ask: Ask,
         class_settings: ClassSettings,
-        expires_at: float,
+        now: float,
         sender: str,
     ) -> None:
         """Keep the request with its class and its sender.
 
-        :param expires_at: deadline in monotonic seconds.
+        :param now: time of arrival in monotonic seconds.
         :param sender: name of the entry instance that asks.
         """
         self.ask = ask
         self.class_settings = class_settings
-        self.expires_at = expires_at
+        self.arrived_at = now
+        #: Deadline in monotonic seconds.
+        self.expires_at = now + ask.deadline_s
+        #: Tokens that the request is charged for fairness.
+        self.cost_tokens = ask.prompt_tokens + ask.max_tokens
         #: Requests of one line are served in order of their deadlines.
         self.line = ask.account
         self.sender = sender
 
-    @property
-    def cost_tokens(self) -> int:
-        """Tokens that the request is charged for fairness."""
-        return self.ask.prompt_tokens + self.ask.max_tokens
-
 
 class _AccountLine:
     """Waiting requests of one client account in one class, by deadline."""
--- a/src/anvilhall/runners.py
+++ b/src/anvilhall/runners.py
@@ -1,7 +1,9 @@
 """What the owner of a shard knows and believes of its runners."""
 
 import collections
+import math
 
+from anvilhall.limits import TokenBucket
 from anvilhall.messages import Ask
 from anvilhall.policies import Policy
 from anvilhall.settings import Pool
@@ -20,6 +22,12 @@
 #: Seconds between probes of a straggler.
 _STRAGGLER_PROBE_S = 2.0
 _MS_PER_S = 1000.0
+#: First-token time that is given up to keep tiers apart, in seconds.
+_PACKING_S = 0.1
+#: Prompt tokens that engines take between two decode steps.
+_PREFILL_CHUNK_TOKENS = 512
+#: Gaps beyond their target that a runner's higher tiers are made to bear.
+_LONG_GAPS_PER_S = 1.0
 
 
 class Work:
@@ -29,6 +37,7 @@
         'account',
         'class_name',
         'first_token_seen',
+        'gap_target_s',
         'granted_at',
         'long',
         'predicted_s',
@@ -52,6 +61,8 @@
         self.granted_at = 0.0
         self.predicted_s = 0.0
         self.first_token_seen = False
+        #: Longest gap between tokens that the class allows, in seconds.
+        self.gap_target_s = math.inf
 
 
 class Runner:
@@ -59,6 +70,7 @@
 
     __slots__ = (
         '_failures',
+        '_long_gaps',
         '_policy',
         '_pool',
         '_prefixes',
@@ -92,6 +104,7 @@
             collections.OrderedDict()
         )
         self._failures = 0
+        self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
         self._probe_at = 0.0
         self._probing = ''
 
@@ -118,33 +131,43 @@
             return False
         if len(self.works) + spare_slots >= self._pool.slots:
             return False
-        if not work.long or not self._policy.protect_short:
+        if not self._policy.protect_short:
             return True
-        return self._has_room_for_long(work)
+        if work.long and not self._has_room_for_long(work):
+            return False
+        return self._has_gaps_to_spare(work, now)
+
+    def weigh_placement_s(self, ask: Ask, tier: int, rank: float) -> float:
+        """Return the cost of placing a request here, in seconds.
+
+        It is the predicted time to the first token, and the time by which the
+        request's prefill holds up the streams of higher tiers. The highest
+        tier fills the runners from the first on and the others from the last,
+        so that the prefill of the others stays away from it.
+
+        :param rank: place of the runner among all, from 0 to 1.
+        """
+        predicted_s = self.predict_first_token_s(ask)
+        if not self._policy.protect_short:
+            return predicted_s
+        if tier == 0:
+            return predicted_s + _PACKING_S * rank
+        held_up = sum(work.tier < tier for work in self.works.values())
+        harm_s = self._predict_prefill_s(ask) * held_up
+        return predicted_s + harm_s + _PACKING_S * (1 - rank)
 
     def predict_first_token_s(self, ask: Ask) -> float:
         """Predict the time to the first token of a further request."""
-        cached = min(self._prefixes.get(ask.prefix, 0), ask.prompt_tokens)
-        backlog = sum(
-            work.prefill_tokens
-            for work in self.works.values()
-            if not work.first_token_seen
-        )
-        prefill = (backlog + ask.prompt_tokens - cached) / (
-            self._pool.prefill_tokens_per_s
-        )
-        streams = max(len(self.works), self.reported_running)
-        step_ms = (
-            self._pool.step_base_ms + self._pool.step_per_stream_ms * streams
-        )
-        nominal = max(prefill + step_ms / _MS_PER_S, _MIN_PREDICTION_S)
-        return nominal * self.slowdown
+        prefill_s = self._predict_backlog_s() + self._predict_prefill_s(ask)
+        nominal_s = max(prefill_s + self._predict_step_s(), _MIN_PREDICTION_S)
+        return nominal_s * self.slowdown
 
     def add_work(self, work: Work, ask: Ask, now: float) -> None:
         """Give a slot to a request."""
         work.runner = self.name
         work.granted_at = now
         work.predicted_s = self.predict_first_token_s(ask) / self.slowdown
+        self._spend_gaps(work, now)
         self.works[work.request_id] = work
         if self.suspect:
             self._probing = work.request_id
@@ -166,16 +189,7 @@
 
     def note_gap(self, gap_s: float, now: float) -> None:
         """Compare the longest gap of a stream with the expected step time."""
-        step_ms = self._pool.step_base_ms + (
-            self._pool.step_per_stream_ms * len(self.works)
-        )
-        backlog = sum(
-            work.prefill_tokens
-            for work in self.works.values()
-            if not work.first_token_seen
-        )
-        prefill_s = backlog / self._pool.prefill_tokens_per_s
-        expected = step_ms / _MS_PER_S + prefill_s
+        expected = self._predict_step_s() + self._predict_backlog_s()
         if gap_s > 0 and expected > 0:
             self._note_ratio(gap_s / expected)
         if self.suspect and self._probe_at < now:
@@ -191,6 +205,48 @@
         """Trust the runner again."""
         self._failures = 0
 
+    def _predict_step_s(self) -> float:
+        streams = max(len(self.works), self.reported_running)
+        step_ms = (
+            self._pool.step_base_ms + self._pool.step_per_stream_ms * streams
+        )
+        return step_ms / _MS_PER_S
+
+    def _predict_prefill_s(self, ask: Ask) -> float:
+        cached = min(self._prefixes.get(ask.prefix, 0), ask.prompt_tokens)
+        return (ask.prompt_tokens - cached) / self._pool.prefill_tokens_per_s
+
+    def _predict_backlog_s(self) -> float:
+        backlog = sum(
+            work.prefill_tokens
+            for work in self.works.values()
+            if not work.first_token_seen
+        )
+        return backlog / self._pool.prefill_tokens_per_s
+
+    def _count_long_gaps(self, work: Work) -> int:
+        """Return how many gaps beyond their target a prefill would cause."""
+        targets = [
+            other.gap_target_s
+            for other in self.works.values()
+            if other.tier < work.tier
+        ]
+        chunk = min(work.prefill_tokens, _PREFILL_CHUNK_TOKENS)
+        turn_s = chunk / self._pool.prefill_tokens_per_s
+        if not targets or turn_s + self._predict_step_s() <= min(targets):
+            return 0
+        return math.ceil(work.prefill_tokens / _PREFILL_CHUNK_TOKENS)
+
+    def _has_gaps_to_spare(self, work: Work, now: float) -> bool:
+        gaps = self._count_long_gaps(work)
+        return not gaps or self._long_gaps.wait_s(gaps, now) <= 0
+
+    def _spend_gaps(self, work: Work, now: float) -> None:
+        gaps = self._count_long_gaps(work)
+        if gaps:
+            self._long_gaps.wait_s(gaps, now)
+            self._long_gaps.take(gaps)
+
     def _has_room_for_long(self, work: Work) -> bool:
         long_slots = self._pool.long_slots
         if long_slots is None:
--- a/src/anvilhall/shard.py
+++ b/src/anvilhall/shard.py
@@ -34,6 +34,8 @@
 from anvilhall.settings import ClassSettings, Pool
 from anvilhall.tree import Tree
 
+_MS_PER_S = 1000.0
+
 
 class Seat(msgspec.Struct, frozen=True):
     """A live runner as the membership list names it."""
@@ -148,9 +150,9 @@
         except RequestRefused as error:
             return [_refuse(sender, ask.request_id, error)]
         self._senders[ask.request_id] = sender
-        expires_at = now + ask.deadline_s
-        waiting = Waiting(ask, settings, expires_at, sender)
+        waiting = Waiting(ask, settings, now, sender)
         weight = self._admission.get_weight(ask.account)
+        waiting.cost_tokens = self._admission.estimate_tokens(ask)
         self._queue.push(waiting, weight, now)
         self._admission.admit(ask)
         if dropped is None:
@@ -206,6 +208,11 @@
             runner.note_failure(now)
         elif release.served:
             runner.note_success()
+            self._admission.note_length(
+                work.class_name,
+                work.account,
+                release.tokens,
+            )
         runner.remove_work(release.request_id)
         self._leave(work.request_id, work.account, work.class_name)
         if runner.leaving and not runner.works:
@@ -315,11 +322,23 @@
         candidates = preferred or fitting
         if not candidates:
             return None
+        ranks = self._rank_runners()
         return min(
             candidates,
-            key=lambda runner: runner.predict_first_token_s(waiting.ask),
+            key=lambda runner: runner.weigh_placement_s(
+                waiting.ask,
+                work.tier,
+                ranks[runner.name],
+            ),
         )
 
+    def _rank_runners(self) -> dict[str, float]:
+        last = max(1, len(self.runners) - 1)
+        return {
+            name: place / last
+            for place, name in enumerate(sorted(self.runners))
+        }
+
     def _grant(
         self,
         queue: ClassQueue,
@@ -333,11 +352,19 @@
         return Action(waiting.sender, grant)
 
     def _pause_for_waiting(self, now: float) -> list[Action]:
-        """Ask the lowest preemptible request to yield to a waiting tier 0."""
-        turns = self._queue.list_turns(now)
-        if not turns or not self._policy.pause:
+        """Ask the lowest preemptible request to yield to a higher tier.
+
+        A pause costs the work of reading the prompt again, so it comes only
+        when a request has waited for half of its target.
+        """
+        pressing = [
+            queue.settings.tier
+            for queue in self._queue.list_turns(now)
+            if now - queue.peek().arrived_at >= _measure_patience_s(queue)
+        ]
+        if not pressing or not self._policy.pause:
             return []
-        tier = min(queue.settings.tier for queue in turns)
+        tier = min(pressing)
         victims = [
             work
             for runner in self.runners.values()
@@ -388,12 +415,23 @@
         self._admission.leave(account, class_name)
 
 
+def _measure_patience_s(queue: ClassQueue) -> float:
+    target = queue.settings.target
+    target_ms = target.first_token_ms or target.done_ms
+    if target_ms is None:
+        return queue.settings.floor_interval_s
+    return target_ms / _MS_PER_S / 2
+
+
 def _describe_work(waiting: Waiting) -> Work:
     ask = waiting.ask
     work = Work(ask.request_id, ask.class_name, ask.account)
     work.tier = waiting.class_settings.tier
     work.prefill_tokens = ask.prompt_tokens
     work.long = ask.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
+    gap_ms = waiting.class_settings.target.gap_ms
+    if gap_ms:
+        work.gap_target_s = gap_ms / _MS_PER_S
     return work
 
 
