--- a/tests/machine.py
+++ b/tests/machine.py
@@ -160,6 +160,24 @@
         runner.crash()
         self.loop.call_later(1.0, setattr, runner, 'up', True)
 
+    @rule(
+        place=places,
+        number=strategies.integers(0, 3),
+        class_name=strategies.sampled_from(['quick', 'once']),
+    )
+    def crash_under_answer(self, place, number, class_name):
+        self.chat(place, 300, class_name)
+        self.pass_time(0.1)
+        self.crash_runner(number)
+
+    @rule(place=places, other=places, key=keys, lost=strategies.booleans())
+    def repeat_order(self, place, other, key, lost):
+        for desk in self.fleet.services.values():
+            desk.drop_answers = int(lost)
+        self.order(place, key, 5)
+        self.pass_time(0.7)
+        self.order(other, key, 5)
+
     @rule(domain=strategies.integers(0, DOMAINS - 1))
     def lose_service_answers(self, domain):
         self.fleet.services[f'desk-{domain}'].drop_answers = 2
