Kill and freeze real daemons in tests

Cause: virtual time can't show what a frozen process does to real sockets.

Change: three daemons as processes; the owner killed (SIGKILL) and frozen (SIGSTOP) under answers of the others; an instance frozen with an order in hand that wakes after another has repeated it; an append that takes effect after the client gave up.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -300,6 +300,22 @@
     return sum(shard.runners for shard in owned if shard.pool == pool)
 
 
+def test_append_that_takes_effect_after_the_client_gave_up(root_json):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            show_fault(cluster.store.faults, 'slow', amount=3, for_s=2)
+            named = {'Anvilhall-Class': 'order', 'Idempotency-Key': 'k1'}
+            reply = await cluster.call('entry-0', 'orders', named)
+            assert read_error(reply.body)['outcome'] == 'not_run'
+            assert cluster.books['desk-0'].runs == []
+            await asyncio.sleep(4)
+            again = await cluster.call('entry-0', 'orders', named)
+            ran = cluster.books['desk-0'].runs
+            assert ran == (['k1'] if again.status == 200 else [])
+
+    asyncio.run(scenario())
+
+
 async def _try_until_ok(cluster, headers):
     for _ in range(20):
         reply = await cluster.call('entry-0', 'orders', headers)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,74 @@
+"""Real processes that are killed, frozen and resumed."""
+
+import asyncio
+import contextlib
+import signal
+
+import pytest
+
+from tests.cluster import build_chat, expect_text, read_text, wait_for
+from tests.processes import ProcessFleet
+
+#: Seconds after which a scenario has failed.
+LIMIT_S = 60
+
+
+@contextlib.asynccontextmanager
+async def _open_processes(folder, node):
+    fleet = ProcessFleet(folder)
+    try:
+        fleet.start(node)
+        await fleet.publish()
+        await fleet.wait_ready()
+        async with asyncio.timeout(LIMIT_S):
+            yield fleet
+    finally:
+        fleet.stop()
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+def test_owner_killed_or_frozen_costs_the_others_no_answer(
+    tmp_path,
+    root_json,
+    number,
+):
+    async def scenario():
+        async with _open_processes(tmp_path, root_json) as fleet:
+            owner = (await fleet.find_owners())[0]
+            others = [name for name in fleet.callers if name != owner]
+            bodies = [build_chat(f'q{n}', max_tokens=60) for n in range(4)]
+            runs = [[] for _ in bodies]
+            calls = [
+                asyncio.ensure_future(
+                    fleet.chat(others[place % 2], body, runs[place]),
+                )
+                for place, body in enumerate(bodies)
+            ]
+            await wait_for(lambda: sum(map(len, runs)) > 10)
+            fleet.send_signal(owner, number)
+            late = [build_chat(f'late{n}', max_tokens=5) for n in range(4)]
+            more = [
+                fleet.chat(others[n % 2], body) for n, body in enumerate(late)
+            ]
+            answers = await asyncio.gather(*calls, *more)
+            for body, answer in zip([*bodies, *late], answers, strict=True):
+                assert read_text(answer) == expect_text(body)
+
+    asyncio.run(scenario())
+
+
+def test_frozen_instance_that_wakes_runs_no_order_twice(tmp_path, root_json):
+    async def scenario():
+        async with _open_processes(tmp_path, root_json) as fleet:
+            names = list(fleet.callers)
+            first = asyncio.ensure_future(fleet.order(names[0], 'seat-1'))
+            await asyncio.sleep(0.002)
+            fleet.send_signal(names[0], signal.SIGSTOP)
+            await asyncio.sleep(1)
+            await fleet.order(names[1], 'seat-1')
+            fleet.send_signal(names[0], signal.SIGCONT)
+            await first
+            await fleet.order(names[2], 'seat-1')
+            assert (await fleet.list_runs()).count('seat-1') == 1
+
+    asyncio.run(scenario())
