--- a/tools/demo_session.py
+++ b/tools/demo_session.py
@@ -201,7 +201,7 @@
     async def _all_ready(self) -> bool:
         statuses = [await self._get(f'{url}/status') for url in OPERATORS]
         return all(
-            status['ready'] and status['owned'] and len(status['linked']) == 2
+            status['ready'] and len(status['live']) == len(OPERATORS)
             for status in statuses
         )
 
