--- a/src/anvilhall/runners.py
+++ b/src/anvilhall/runners.py
@@ -29,7 +29,7 @@
 #: Prompt tokens that engines take between two decode steps.
 _PREFILL_CHUNK_TOKENS = 512
 #: Gaps beyond their target that a runner's higher tiers are made to bear.
-_LONG_GAPS_PER_S = 0.5
+_LONG_GAPS_PER_S = 0.1
 
 
 class Work:
