Take out what nothing uses; follow both streams with one reader

Cause: read as a newcomer. Load reports, a weight store's URL and fencing were settings and methods without effect; two modules followed the log alike.

Change: they are gone until something uses them; following.py reads a stream through outages for settings and claims.

--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -10,16 +10,14 @@
 from anvilhall.clock import Clock
 from anvilhall.exceptions import (
     AlreadyRun,
-    AnvilhallError,
     AppendUncertain,
     ClaimedBefore,
     ClaimUnavailable,
     KeyReused,
     LogUnavailable,
-    PlatformError,
-    RecordsExpired,
     StillRunning,
 )
+from anvilhall.following import StreamReader, follow_stream
 from anvilhall.jobs import Job
 from anvilhall.ledger import (
     CLAIMS_STREAM,
@@ -32,10 +30,10 @@
     decode_batch,
 )
 from anvilhall.local import Timings
-from anvilhall.logservice import LogClient
+from anvilhall.logservice import LogClient, Page
 from anvilhall.metrics import Metrics
 
-#: Seconds before the log is tried again after it failed.
+#: Seconds before an append is tried again.
 _RETRY_S = 0.1
 #: Size of a claim's identifier.
 _ID_BITS = 128
@@ -217,21 +215,19 @@
         return True
 
     async def _follow(self) -> None:
-        while True:
-            try:
-                await self._read_page()
-            except RecordsExpired:
-                await self._skip_expired()
-            except PlatformError as error:
-                self._metrics.platform_failures.labels('log', error.code).inc()
-                await asyncio.sleep(_RETRY_S)
-
-    async def _read_page(self) -> None:
-        page = await self._log.read(
+        reader = StreamReader(
             CLAIMS_STREAM,
-            self.ledger.covers + 1,
-            self._timings.log_poll_s,
+            self._get_next_offset,
+            self._take_page,
+            self.ledger.skip_to,
         )
+        poll_s = self._timings.log_poll_s
+        await follow_stream(reader, self._log, poll_s, self._metrics)
+
+    def _get_next_offset(self) -> int:
+        return self.ledger.covers + 1
+
+    async def _take_page(self, page: Page) -> None:
         now = self._clock.monotonic()
         for record in page.records:
             batch = decode_batch(record.body)
@@ -241,14 +237,6 @@
         async with self._folded:
             self._folded.notify_all()
 
-    async def _skip_expired(self) -> None:
-        try:
-            start = await self._log.find_start(CLAIMS_STREAM)
-        except AnvilhallError:
-            await asyncio.sleep(_RETRY_S)
-            return
-        self.ledger.skip_to(start)
-
     def _confirm(self, claims: Iterable[Claim]) -> None:
         for claim in claims:
             self._claims.pop(claim.id, None)
--- a/src/anvilhall/defaults.py
+++ b/src/anvilhall/defaults.py
@@ -28,8 +28,6 @@
 GAP_TIMEOUT_S = 10.0
 #: Seconds between looks at the membership list.
 MEMBERSHIP_INTERVAL_S = 0.5
-#: Seconds between two load reports that are asked of one runner.
-LOAD_INTERVAL_S = 1.0
 #: Seconds that one long poll of the log may last.
 LOG_POLL_S = 5.0
 #: Seconds between heartbeats on a link between instances.
@@ -44,8 +42,6 @@
 SETTLING_S = 1.0
 #: Seconds without a link after which a foreign instance's grants are freed.
 FOREIGN_SILENCE_S = 5.0
-#: Seconds to wait for the owner's answer to a request that is not queued.
-OWNER_TIMEOUT_S = 1.0
 #: Upstream attempts of one request, the first included.
 ATTEMPTS_LIMIT = 4
 #: Retries allowed per first attempt, over a window.
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -185,13 +185,6 @@
     status = HTTPStatus.CONFLICT
 
 
-class KeyExpired(RunUncertain):
-    """The idempotency key is older than the window that claims are kept."""
-
-    code = 'key_expired'
-    status = HTTPStatus.CONFLICT
-
-
 class KeyReused(RequestRefused):
     """The idempotency key belongs to a request with another body."""
 
--- a/src/anvilhall/follower.py
+++ b/src/anvilhall/follower.py
@@ -8,13 +8,9 @@
 import msgspec
 
 from anvilhall.clock import Clock
-from anvilhall.exceptions import (
-    LogUnavailable,
-    PeerUnreachable,
-    PlatformError,
-    RecordsExpired,
-)
+from anvilhall.exceptions import PeerUnreachable
 from anvilhall.fleet import Fleet
+from anvilhall.following import StreamReader, follow_stream
 from anvilhall.local import Timings
 from anvilhall.logs import note_change
 from anvilhall.logservice import LogClient, Page, Record
@@ -34,8 +30,6 @@
     decode_record,
 )
 
-#: Seconds before the log is read again after it failed.
-_RETRY_S = 0.25
 _ACCEPTED = 'accepted'
 #: Records kept for peers that are behind.
 _RECENT_RECORDS = 256
@@ -99,32 +93,21 @@
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
-        while True:
-            try:
-                await self._read_page()
-            except RecordsExpired:
-                await self._skip_expired()
-            except PlatformError as error:
-                self._metrics.platform_failures.labels('log', error.code).inc()
-                await asyncio.sleep(_RETRY_S)
-
-    async def _read_page(self) -> None:
-        page = await self._log.read(
+        reader = StreamReader(
             SETTINGS_STREAM,
-            self.state.next_offset,
-            self._timings.log_poll_s,
+            self._get_next_offset,
+            self._take_page,
+            self.state.skip_to,
         )
+        poll_s = self._timings.log_poll_s
+        await follow_stream(reader, self._log, poll_s, self._metrics)
+
+    async def _take_page(self, page: Page) -> None:
         self._fold(page)
         await self._write_snapshot()
 
-    async def _skip_expired(self) -> None:
-        try:
-            start = await self._log.find_start(SETTINGS_STREAM)
-        except LogUnavailable as error:
-            self._metrics.platform_failures.labels('log', error.code).inc()
-            await asyncio.sleep(_RETRY_S)
-            return
-        self.state.skip_to(start)
+    def _get_next_offset(self) -> int:
+        return self.state.next_offset
 
     def _fold(self, page: Page) -> None:
         version = self.state.version
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -37,7 +37,6 @@
 
     log_url: str
     membership_url: str
-    weights_url: str = ''
     #: Names of the adapters.
     log_client: str = 'http'
     membership_client: str = 'http'
@@ -56,7 +55,6 @@
     """Periods of the process's own work, in seconds."""
 
     membership_interval_s: float = defaults.MEMBERSHIP_INTERVAL_S
-    load_interval_s: float = defaults.LOAD_INTERVAL_S
     log_poll_s: float = defaults.LOG_POLL_S
     heartbeat_interval_s: float = defaults.HEARTBEAT_INTERVAL_S
     suspect_after_s: float = defaults.SUSPECT_AFTER_S
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -26,7 +26,6 @@
         'link_messages',
         'links_opened',
         'open_requests',
-        'orders',
         'platform_failures',
         'refusals',
         'registry',
@@ -100,11 +99,6 @@
             'Publications folded, by the code of their refusal.',
             _CODE,
         )
-        self.orders = self._count(
-            'orders',
-            'Orders to engines by their result.',
-            'result',
-        )
         self.internal_errors = self._count(
             'internal_errors',
             'Faults of this program that ended periodic work.',
--- a/src/anvilhall/runners.py
+++ b/src/anvilhall/runners.py
@@ -81,7 +81,6 @@
         'address',
         'leaving',
         'name',
-        'reported_running',
         'slowdown',
         'works',
     )
@@ -101,7 +100,6 @@
         self.works: dict[str, Work] = {}
         self.leaving = False
         self.slowdown = 1.0
-        self.reported_running = 0
         self._prefixes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -209,9 +207,8 @@
         self._failures = 0
 
     def _predict_step_s(self) -> float:
-        streams = max(len(self.works), self.reported_running)
-        step_ms = (
-            self._pool.step_base_ms + self._pool.step_per_stream_ms * streams
+        step_ms = self._pool.step_base_ms + (
+            self._pool.step_per_stream_ms * len(self.works)
         )
         return step_ms / _MS_PER_S
 
--- a/src/anvilhall/settings.py
+++ b/src/anvilhall/settings.py
@@ -111,8 +111,6 @@
     connect_timeout_s: float = defaults.CONNECT_TIMEOUT_S
     first_byte_timeout_s: float = defaults.FIRST_BYTE_TIMEOUT_S
     gap_timeout_s: float = defaults.GAP_TIMEOUT_S
-    #: Whether the runners refuse orders with an old fencing number.
-    checks_fencing: bool = False
     reserves: tuple[Reserve, ...] = ()
 
 
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -16,14 +16,6 @@
 _FALSE = msgspec.Raw(b'false')
 
 
-class LoadReport(msgspec.Struct, frozen=True):
-    """What an upstream says of itself; it lags behind the truth."""
-
-    running: int = 0
-    waiting: int = 0
-    leaving: bool = False
-
-
 class Wire(Protocol):
     """One wire format."""
 
@@ -39,9 +31,6 @@
     def build_cancel(self, job: Job, grant: Grant) -> Call | None:
         """Return the call that cancels a running job, if there is one."""
 
-    def build_load_call(self, address: str) -> Call | None:
-        """Return the call that asks for a load report, if there is one."""
-
 
 WIRES: Registry[Wire] = Registry('wire format')
 
@@ -78,10 +67,6 @@
             timeout_s=job.pool.connect_timeout_s,
         )
 
-    def build_load_call(self, address: str) -> Call | None:
-        """Return the call for the engine's load report."""
-        return Call(url=f'http://{address}/load', timeout_s=1)
-
 
 class _PlainHttp:
     """A plain service: the caller's body and path are passed on as they are."""
@@ -107,10 +92,6 @@
         """Return nothing: plain services can't cancel."""
         return None
 
-    def build_load_call(self, address: str) -> Call | None:
-        """Return the call for the service's state."""
-        return Call(url=f'http://{address}/load', timeout_s=1)
-
 
 WIRES.register('chat-completions')(_ChatCompletions())
 WIRES.register('plain-http')(_PlainHttp())
