Own nothing while shutting down; blame no runner for a taken key

Cause: found by reading. An instance that was shutting down resigned, but took its shards back at the next change of the view, since it counted itself as live. And a key that was already claimed counted as the runner's failure, which then got single probes only.

Ruled out: nothing else was needed to make both tests red.

Change: a leaving instance leaves itself out of the live instances while there are others; only upstream failures count against a runner.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -23,7 +23,6 @@
     Outcome,
     Paused,
     RequestRefused,
-    RunUncertain,
     UpstreamCut,
     UpstreamFailed,
     UpstreamGarbled,
@@ -556,7 +555,7 @@
 
 
 def _blame_runner(error: AnvilhallError) -> str:
-    if isinstance(error, RunUncertain | UpstreamRefused):
+    if isinstance(error, UpstreamFailed | UpstreamRefused):
         return error.code
     return ''
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -53,6 +53,7 @@
         '_directory',
         '_gone_at',
         '_handlers',
+        '_leaving',
         '_links',
         '_listed',
         '_membership',
@@ -76,6 +77,8 @@
         self._clock = clock
         self._metrics = metrics
         self._tree = Tree({})
+        #: Whether this instance is shutting down and owns nothing.
+        self._leaving = False
         self._listed = MemberList(members=())
         #: Whether the view or the list has changed since the last tick.
         self._stale = False
@@ -175,9 +178,9 @@
 
     def leave(self) -> None:
         """Hand ownership on: say goodbye and resign from all shards."""
+        self._leaving = True
         self.tell_linked(self._membership.leave())
-        for pool in sorted(self.broker.owner.pools):
-            self.broker.owner.resign(pool)
+        self._follow_view()
 
     def close(self) -> None:
         """Close all links."""
@@ -260,6 +263,8 @@
 
     def _follow_view(self) -> None:
         live = self._membership.live
+        if self._leaving and len(live) > 1:
+            live.remove(self._config.instance)
         gone = set(self._directory.live) - set(live)
         if live != self._directory.live:
             note_change('view_changed', live=live)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -72,13 +72,18 @@
         await asyncio.sleep(3)
         owner = _owners(fleet)[0]
         records = [
-            submit_chat(fleet, name, f'question {turn}', max_tokens=100)
+            submit_chat(fleet, name, f'question {turn}', max_tokens=400)
             for turn in range(4)
             for name in fleet.instances
         ]
         await asyncio.sleep(0.2)
         began = loop.time()
-        await fleet.instances.pop(owner).stop()
+        leaving = fleet.instances.pop(owner)
+        stop = asyncio.ensure_future(leaving.stop())
+        await asyncio.sleep(1)
+        assert leaving.describe().open_requests
+        assert not leaving.describe().owned
+        await stop
         await asyncio.sleep(20)
         assert all(record.whole and is_right(record) for record in records)
         assert len(_owners(fleet)) == 1
@@ -199,6 +204,24 @@
     run_virtual(loop, scenario())
 
 
+def test_a_taken_key_is_not_the_runner_s_fault(root_json):
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet)
+        await asyncio.sleep(3)
+        for name in fleet.instances:
+            submit_order(fleet, name, 'seat-12', work_ms=300)
+        await asyncio.sleep(0.1)
+        began = loop.time()
+        lookup = submit_order(fleet, 'entry-0-0', '', class_name='lookup')
+        await lookup.task
+        assert lookup.whole
+        assert loop.time() - began < 0.3
+
+    run_virtual(loop, scenario())
+
+
 def test_cut_between_domains_costs_each_nothing(root_json):
     loop, fleet = open_fleet(root_json, domains=2)
 
