Be ready only when the membership list has been read

Cause: a test with a killed process got "no runner" once. An instance that had settings and links, but whose first look at the list had failed, was ready and refused at once what it could not place.

Ruled out: the shard (its refusal needs runners that are all leaving).

Change: readiness waits for the list too.

Measured: the new test red without the change, green with it.

--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -133,7 +133,7 @@
 
 
 class NotReady(RequestRefused):
-    """The instance has no settings yet."""
+    """The instance has no settings or no membership list yet."""
 
     code = 'not_ready'
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -118,6 +118,11 @@
         """Live instances of the own region."""
         return self._directory.live
 
+    @property
+    def has_list(self) -> bool:
+        """Whether the platform's list has been read."""
+        return bool(self._listed.members)
+
     @property
     def linked(self) -> frozenset[str]:
         """Instances with an open link."""
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -216,7 +216,7 @@
         )
 
     def _get_tree(self) -> Tree | None:
-        if not self._follower.ready:
+        if not self._follower.ready or not self._fleet.has_list:
             return None
         return self._follower.state.tree
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -135,6 +135,22 @@
     run_virtual(loop, scenario())
 
 
+def test_instance_without_a_membership_list_is_not_ready(root_json):
+    """Found by a killed process: it refused with "no runner" instead."""
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        fleet.membership.out = True
+        start_instances(fleet, per_domain=1)
+        await asyncio.sleep(2)
+        assert not fleet.instances['entry-0-0'].gate.ready
+        fleet.membership.out = False
+        await asyncio.sleep(2)
+        assert fleet.instances['entry-0-0'].gate.ready
+
+    run_virtual(loop, scenario())
+
+
 def test_leaving_upstream_gets_nothing_new_after_three_seconds(root_json):
     loop, fleet = open_fleet(root_json)
 
