Forget account lines when a class queue empties

Cause: read as a newcomer: the function that dropped idle accounts was never called, so a shard kept a line for every account it had ever seen.

Ruled out: calling it as it was; accounts stay above the virtual time that each of them starts from (500 of 500 kept).

Change: when nobody of the class waits, the lines go, as in start-time fair queueing at the end of a busy period.

--- a/src/anvilhall/queues.py
+++ b/src/anvilhall/queues.py
@@ -182,6 +182,9 @@
         self.length -= 1
         self.waiting_since = now
         self.virtual_time += waiting.cost_tokens / self.settings.weight
+        if not self.length:
+            # A share that was not used while nobody waited is not owed later.
+            self._lines.clear()
         return waiting
 
     def remove(self, request_id: str) -> Waiting | None:
@@ -205,14 +208,6 @@
             return False
         return now - self.waiting_since >= self.settings.floor_interval_s
 
-    def forget_idle_accounts(self) -> None:
-        """Drop the state of accounts that are behind the others' time."""
-        self._lines = {
-            account: line
-            for account, line in self._lines.items()
-            if line or line.virtual_time > self._clock_floor
-        }
-
     def _choose_line(self) -> _AccountLine:
         busy = (line for line in self._lines.values() if line)
         return min(busy, key=_get_line_turn)
