Move decisions to anvilhall.core and replay to anvilhall.replay

Change: one subpackage for decisions without input or output, one for the replay of traces; Member and MemberList apart from the client that reads them.

--- a/src/anvilhall/answers.py
+++ b/src/anvilhall/answers.py
@@ -9,6 +9,7 @@
 
 from anvilhall import defaults
 from anvilhall.claims import ClaimKeeper
+from anvilhall.core.messages import AnswerAsk, AnswerOffer, Message
 from anvilhall.exceptions import (
     AlreadyRun,
     ClaimedBefore,
@@ -17,7 +18,6 @@
 )
 from anvilhall.fleet import Fleet
 from anvilhall.jobs import Job
-from anvilhall.messages import AnswerAsk, AnswerOffer, Message
 
 #: Seconds to wait for another instance's kept answer.
 _ASK_TIMEOUT_S = 1.0
--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -11,6 +11,7 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from anvilhall.answers import AnswerShelf, KeptAnswer
+from anvilhall.core.tree import Holder
 from anvilhall.events import decode_answer
 from anvilhall.exceptions import (
     AnvilhallError,
@@ -23,7 +24,6 @@
 from anvilhall.gate import Gate
 from anvilhall.jobs import ChatBody, Job
 from anvilhall.outbound import Reply
-from anvilhall.tree import Holder
 from anvilhall.upstreams import WIRES
 
 CLASS_HEADER = 'Anvilhall-Class'
--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -8,6 +8,16 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
+from anvilhall.core.ledger import (
+    CLAIMS_STREAM,
+    Claim,
+    Entry,
+    KeyState,
+    Ledger,
+    LedgerBatch,
+    Settlement,
+    decode_batch,
+)
 from anvilhall.exceptions import (
     AlreadyRun,
     AppendUncertain,
@@ -19,16 +29,6 @@
 )
 from anvilhall.following import StreamReader, follow_stream
 from anvilhall.jobs import Job
-from anvilhall.ledger import (
-    CLAIMS_STREAM,
-    Claim,
-    Entry,
-    KeyState,
-    Ledger,
-    LedgerBatch,
-    Settlement,
-    decode_batch,
-)
 from anvilhall.local import Timings
 from anvilhall.logservice import LogClient, Page
 from anvilhall.metrics import Metrics
--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -15,11 +15,12 @@
 import click
 import msgspec
 
+from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.settings import Fault, JsonObject, SettingsFaulty
 from anvilhall.exceptions import AnvilhallError, PlatformError, UnknownName
 from anvilhall.logservice import HttpLogClient, LogClient
 from anvilhall.operators import Status
 from anvilhall.outbound import Call, CurlOutbound, Outbound
-from anvilhall.policies import DEFAULT_POLICY
 from anvilhall.publishing import (
     PublishOutcome,
     PublishReport,
@@ -31,10 +32,9 @@
     publish_team,
     read_settings,
 )
-from anvilhall.replay import run_replay
-from anvilhall.scores import ReplayScore
-from anvilhall.settings import Fault, JsonObject, SettingsFaulty
-from anvilhall.traces import Trace
+from anvilhall.replay.player import run_replay
+from anvilhall.replay.scores import ReplayScore
+from anvilhall.replay.traces import Trace
 
 EXIT_FAULTS = 1
 EXIT_LOST = 3
--- /dev/null
+++ b/src/anvilhall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: who waits, who runs where, and when."""
--- a/src/anvilhall/admission.py
+++ b/src/anvilhall/core/admission.py
@@ -1,11 +1,11 @@
 """Whether a request fits the limits of its client account and class."""
 
-from anvilhall.estimates import OutputLengths
+from anvilhall.core.estimates import OutputLengths
+from anvilhall.core.limits import Meter
+from anvilhall.core.messages import Ask
+from anvilhall.core.settings import Account, ClassSettings, Limits
+from anvilhall.core.tree import Tree
 from anvilhall.exceptions import AccountLimited, ClassLimited
-from anvilhall.limits import Meter
-from anvilhall.messages import Ask
-from anvilhall.settings import Account, ClassSettings, Limits
-from anvilhall.tree import Tree
 
 _UNKNOWN_ACCOUNT = Account(key_sha256=(), limits=Limits())
 
--- a/src/anvilhall/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -10,15 +10,8 @@
 import msgspec
 
 from anvilhall.clock import Clock
-from anvilhall.directory import Directory
-from anvilhall.exceptions import (
-    NoRunner,
-    Overloaded,
-    PeerUnreachable,
-    RequestRefused,
-    list_errors,
-)
-from anvilhall.messages import (
+from anvilhall.core.directory import Directory
+from anvilhall.core.messages import (
     Ask,
     Grant,
     Held,
@@ -28,9 +21,16 @@
     Refusal,
     Release,
 )
-from anvilhall.owner import NOT_OWNER, Owner, OwnerMessage
-from anvilhall.policies import DEFAULT_POLICY
-from anvilhall.tree import Tree
+from anvilhall.core.owner import NOT_OWNER, Owner, OwnerMessage
+from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import (
+    NoRunner,
+    Overloaded,
+    PeerUnreachable,
+    RequestRefused,
+    list_errors,
+)
 
 #: Sends a message to another instance; raises :exc:`PeerUnreachable`.
 Send = Callable[[str, Ask | Progress | Release | Inventory], None]
--- a/src/anvilhall/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -8,8 +8,8 @@
 import hashlib
 from collections.abc import Iterable
 
-from anvilhall.memberlist import Member, MemberList
-from anvilhall.shard import Seat
+from anvilhall.core.members import Member, MemberList
+from anvilhall.core.shard import Seat
 
 
 def rank_owners(names: Iterable[str], shard: str) -> list[str]:
--- a/src/anvilhall/limits.py
+++ b/src/anvilhall/core/limits.py
@@ -1,6 +1,6 @@
 """Rate and concurrency limits of client accounts and classes."""
 
-from anvilhall.settings import Limits
+from anvilhall.core.settings import Limits
 
 #: Seconds of unused rate that a limit lets accumulate.
 BURST_S = 2.0
--- a/src/anvilhall/membership.py
+++ b/src/anvilhall/core/membership.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from anvilhall.messages import News
+from anvilhall.core.messages import News
 
 #: Seconds that an instance in the list but never heard of counts as alive.
 _UNHEARD_S = 5.0
--- a/src/anvilhall/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -151,7 +151,7 @@
 
     instance: str
     incarnation: int
-    #: One of the values of :class:`anvilhall.membership.Status`.
+    #: One of the values of :class:`anvilhall.core.membership.Status`.
     status: str
 
 
--- a/src/anvilhall/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -9,8 +9,7 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
-from anvilhall.exceptions import Overloaded
-from anvilhall.messages import (
+from anvilhall.core.messages import (
     Ask,
     Grant,
     Inventory,
@@ -19,9 +18,10 @@
     Refusal,
     Release,
 )
-from anvilhall.policies import DEFAULT_POLICY, POLICIES
-from anvilhall.shard import Action, Seat, Shard
-from anvilhall.tree import Tree
+from anvilhall.core.policies import DEFAULT_POLICY, POLICIES
+from anvilhall.core.shard import Action, Seat, Shard
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import Overloaded
 
 #: Code of a refusal by an instance that does not own the shard.
 NOT_OWNER = 'not_owner'
--- a/src/anvilhall/publication.py
+++ b/src/anvilhall/core/publication.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from anvilhall.core.settings import SettingsFaulty, TeamNode, decode_node
+from anvilhall.core.tree import Tree
 from anvilhall.exceptions import VersionConflict
-from anvilhall.settings import SettingsFaulty, TeamNode, decode_node
-from anvilhall.tree import Tree
 
 #: Stream of the log that holds publications and snapshots.
 SETTINGS_STREAM = 'settings'
--- a/src/anvilhall/queues.py
+++ b/src/anvilhall/core/queues.py
@@ -9,9 +9,9 @@
 import itertools
 from collections.abc import Iterator
 
-from anvilhall.messages import Ask
-from anvilhall.policies import Policy
-from anvilhall.settings import ClassSettings
+from anvilhall.core.messages import Ask
+from anvilhall.core.policies import Policy
+from anvilhall.core.settings import ClassSettings
 
 
 class Waiting:
--- a/src/anvilhall/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -3,10 +3,10 @@
 import collections
 import math
 
-from anvilhall.limits import TokenBucket
-from anvilhall.messages import Ask
-from anvilhall.policies import Policy
-from anvilhall.settings import Pool
+from anvilhall.core.limits import TokenBucket
+from anvilhall.core.messages import Ask
+from anvilhall.core.policies import Policy
+from anvilhall.core.settings import Pool
 
 #: Shared prompt beginnings remembered for one runner.
 _PREFIXES_KEPT = 256
--- a/src/anvilhall/schedules.py
+++ b/src/anvilhall/core/schedules.py
@@ -3,7 +3,7 @@
 import datetime as dt
 import zoneinfo
 
-from anvilhall.settings import Schedule, Window
+from anvilhall.core.settings import Schedule, Window
 
 
 def is_active(schedule: Schedule, now: dt.datetime) -> bool:
--- a/src/anvilhall/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -10,15 +10,8 @@
 import msgspec
 
 from anvilhall import defaults
-from anvilhall.admission import Admission
-from anvilhall.exceptions import (
-    DeadlinePassed,
-    NoRunner,
-    Overloaded,
-    RequestRefused,
-    UnknownClass,
-)
-from anvilhall.messages import (
+from anvilhall.core.admission import Admission
+from anvilhall.core.messages import (
     Ask,
     Grant,
     Held,
@@ -27,12 +20,19 @@
     Refusal,
     Release,
 )
-from anvilhall.policies import DEFAULT_POLICY, POLICIES, Policy
-from anvilhall.queues import ClassQueue, PoolQueue, Waiting
-from anvilhall.runners import Runner, Work
-from anvilhall.schedules import is_active
-from anvilhall.settings import ClassSettings, Pool
-from anvilhall.tree import Tree
+from anvilhall.core.policies import DEFAULT_POLICY, POLICIES, Policy
+from anvilhall.core.queues import ClassQueue, PoolQueue, Waiting
+from anvilhall.core.runners import Runner, Work
+from anvilhall.core.schedules import is_active
+from anvilhall.core.settings import ClassSettings, Pool
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import (
+    DeadlinePassed,
+    NoRunner,
+    Overloaded,
+    RequestRefused,
+    UnknownClass,
+)
 
 _MS_PER_S = 1000.0
 #: Share of all granted tokens that pauses may cause to be read again.
--- a/src/anvilhall/tree.py
+++ b/src/anvilhall/core/tree.py
@@ -4,8 +4,7 @@
 import zoneinfo
 from collections.abc import Iterator, Mapping
 
-from anvilhall.exceptions import ClassNotAllowed, UnknownAccount, UnknownClass
-from anvilhall.settings import (
+from anvilhall.core.settings import (
     ROOT,
     Account,
     ClassSettings,
@@ -19,6 +18,7 @@
     convert_class,
     merge_fields,
 )
+from anvilhall.exceptions import ClassNotAllowed, UnknownAccount, UnknownClass
 
 
 class Holder:
--- a/src/anvilhall/daemon.py
+++ b/src/anvilhall/daemon.py
@@ -8,10 +8,10 @@
 import click
 
 from anvilhall.clock import SystemClock
+from anvilhall.core.settings import SettingsFaulty
 from anvilhall.instance import Instance
 from anvilhall.local import LocalConfig
 from anvilhall.logs import start_logging
-from anvilhall.settings import SettingsFaulty
 
 #: Exit code for settings that can't be used.
 _EXIT_SETTINGS = 2
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -6,9 +6,12 @@
 from typing import Protocol
 
 from anvilhall import defaults
-from anvilhall.broker import Broker
 from anvilhall.claims import ClaimKeeper
 from anvilhall.clock import Clock
+from anvilhall.core.broker import Broker
+from anvilhall.core.ledger import Claim
+from anvilhall.core.messages import Grant, Progress, Release
+from anvilhall.core.retries import RetryBudget, draw_backoff_s, may_repeat
 from anvilhall.events import (
     DONE_EVENT,
     Answer,
@@ -30,11 +33,8 @@
     UpstreamStalled,
 )
 from anvilhall.jobs import Job
-from anvilhall.ledger import Claim
-from anvilhall.messages import Grant, Progress, Release
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Outbound, Reply, Transfer
-from anvilhall.retries import RetryBudget, draw_backoff_s, may_repeat
 from anvilhall.upstreams import WIRES, Wire
 
 #: Statuses with which an upstream says that it has not taken the work.
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -3,16 +3,12 @@
 from collections.abc import Callable, Iterable
 
 from anvilhall import defaults
-from anvilhall.broker import Broker
 from anvilhall.clock import Clock
-from anvilhall.directory import Directory
-from anvilhall.exceptions import PeerUnreachable
-from anvilhall.links import LinkEvents, Links, LinkSet
-from anvilhall.local import LocalConfig
-from anvilhall.logs import note_change
-from anvilhall.memberlist import MemberList
-from anvilhall.membership import Membership, Watch
-from anvilhall.messages import (
+from anvilhall.core.broker import Broker
+from anvilhall.core.directory import Directory
+from anvilhall.core.members import MemberList
+from anvilhall.core.membership import Membership, Watch
+from anvilhall.core.messages import (
     Ask,
     Grant,
     Heartbeat,
@@ -25,9 +21,13 @@
     Refusal,
     Release,
 )
+from anvilhall.core.owner import OwnerMessage
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import PeerUnreachable
+from anvilhall.links import LinkEvents, Links, LinkSet
+from anvilhall.local import LocalConfig
+from anvilhall.logs import note_change
 from anvilhall.metrics import Metrics
-from anvilhall.owner import OwnerMessage
-from anvilhall.tree import Tree
 
 #: Handles a kind of message that the fleet itself has no use for.
 Handler = Callable[[str, Message], None]
--- a/src/anvilhall/follower.py
+++ b/src/anvilhall/follower.py
@@ -8,27 +8,27 @@
 import msgspec
 
 from anvilhall.clock import Clock
-from anvilhall.exceptions import PeerUnreachable
-from anvilhall.fleet import Fleet
-from anvilhall.following import StreamReader, follow_stream
-from anvilhall.local import Timings
-from anvilhall.logs import note_change
-from anvilhall.logservice import LogClient, Page, Record
-from anvilhall.messages import (
+from anvilhall.core.messages import (
     Heartbeat,
     Message,
     SettingsAsk,
     SettingsOffer,
     SettingsRecords,
 )
-from anvilhall.metrics import Metrics
-from anvilhall.publication import (
+from anvilhall.core.publication import (
     SETTINGS_STREAM,
     SettingsState,
     Snapshot,
     Verdict,
     decode_record,
 )
+from anvilhall.exceptions import PeerUnreachable
+from anvilhall.fleet import Fleet
+from anvilhall.following import StreamReader, follow_stream
+from anvilhall.local import Timings
+from anvilhall.logs import note_change
+from anvilhall.logservice import LogClient, Page, Record
+from anvilhall.metrics import Metrics
 
 _ACCEPTED = 'accepted'
 #: Records kept for peers that are behind.
--- a/src/anvilhall/gate.py
+++ b/src/anvilhall/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from anvilhall.core.tree import Tree
 from anvilhall.exceptions import (
     AnvilhallError,
     CallerGone,
@@ -11,7 +12,6 @@
     TooManyConnections,
 )
 from anvilhall.metrics import Metrics
-from anvilhall.tree import Tree
 
 
 class Gate:
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -12,26 +12,26 @@
 from anvilhall.callers import CallerContext, build_caller_app
 from anvilhall.claims import ClaimKeeper
 from anvilhall.clock import Clock
+from anvilhall.core.ledger import Ledger
+from anvilhall.core.members import MemberList
+from anvilhall.core.owner import summarise
+from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PlatformError
 from anvilhall.execution import Services
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.follower import SettingsFollower
 from anvilhall.gate import Gate
-from anvilhall.ledger import Ledger
 from anvilhall.links import Links
 from anvilhall.local import LocalConfig, split_address
 from anvilhall.logs import note_change
 from anvilhall.logservice import LOG_CLIENTS, LogClient
 from anvilhall.memberlist import (
     MEMBERSHIP_CLIENTS,
-    MemberList,
     MembershipClient,
 )
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
 from anvilhall.outbound import CurlOutbound, Outbound
-from anvilhall.owner import summarise
-from anvilhall.tree import Tree
 
 #: Seconds between rounds of work that is due by time.
 _TICK_S = 0.05
--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from anvilhall import defaults
+from anvilhall.core.messages import Ask
+from anvilhall.core.settings import ClassSettings, Pool
 from anvilhall.exceptions import MalformedRequest
-from anvilhall.messages import Ask
-from anvilhall.settings import ClassSettings, Pool
 
 #: Longest answer in tokens, if the caller states none.
 _MAX_TOKENS = 1024
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -19,10 +19,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from anvilhall import defaults
-from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
-from anvilhall.local import LocalConfig, Tls, split_address
-from anvilhall.logs import note_change
-from anvilhall.messages import (
+from anvilhall.core.messages import (
     Challenge,
     Heartbeat,
     Hello,
@@ -31,6 +28,9 @@
     decode_message,
     encode_message,
 )
+from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
+from anvilhall.local import LocalConfig, Tls, split_address
+from anvilhall.logs import note_change
 from anvilhall.metrics import Metrics
 
 #: Version of the messages; instances of different versions work together.
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from anvilhall import defaults
-from anvilhall.policies import DEFAULT_POLICY
-from anvilhall.settings import Fault, SettingsFaulty
+from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.settings import Fault, SettingsFaulty
 
 
 class _Strict(
--- a/src/anvilhall/memberlist.py
+++ b/src/anvilhall/memberlist.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from anvilhall.core.members import MemberList
 from anvilhall.exceptions import (
     PlatformError,
     UpstreamCut,
@@ -18,25 +19,6 @@
 _HTTP_OK = 200
 
 
-class Member(msgspec.Struct, frozen=True):
-    """One entry of the list: an entry instance or an upstream."""
-
-    name: str
-    #: Host and port: of the peer link for an instance, of HTTP for an upstream.
-    address: str
-    failure_domain: str
-    #: Pool of an upstream; empty for an entry instance.
-    pool: str = ''
-    leaving: bool = False
-    region: str = ''
-
-
-class MemberList(msgspec.Struct, frozen=True):
-    """The list as the platform tells it, which lags behind the truth."""
-
-    members: tuple[Member, ...]
-
-
 class MembershipClient(Protocol):
     """What the system needs of a membership list."""
 
--- a/src/anvilhall/operators.py
+++ b/src/anvilhall/operators.py
@@ -7,9 +7,9 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from tornado.web import Application, RequestHandler
 
+from anvilhall.core.owner import OwnedSummary
 from anvilhall.gate import Gate
 from anvilhall.metrics import Metrics
-from anvilhall.owner import OwnedSummary
 
 _CONTENT_TYPE = 'Content-Type'
 _UNAVAILABLE = 503
--- a/src/anvilhall/publishing.py
+++ b/src/anvilhall/publishing.py
@@ -10,21 +10,21 @@
 
 import msgspec
 
-from anvilhall.exceptions import (
-    AppendUncertain,
-    LogUnavailable,
-    RecordsExpired,
-)
-from anvilhall.logservice import LogClient
-from anvilhall.publication import (
+from anvilhall.core.publication import (
     SETTINGS_STREAM,
     Publication,
     SettingsState,
     Verdict,
     decode_record,
 )
-from anvilhall.settings import JsonObject, TeamNode, decode_node
-from anvilhall.tree import Tree
+from anvilhall.core.settings import JsonObject, TeamNode, decode_node
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import (
+    AppendUncertain,
+    LogUnavailable,
+    RecordsExpired,
+)
+from anvilhall.logservice import LogClient
 
 #: Seconds between looks for a publication whose append got no answer.
 _POLL_S = 0.2
--- a/src/anvilhall/baselines.py
+++ b/src/anvilhall/replay/baselines.py
@@ -6,12 +6,12 @@
 
 from typing import TYPE_CHECKING
 
-from anvilhall.messages import Ask, Grant, Progress, Release
+from anvilhall.core.messages import Ask, Grant, Progress, Release
 from anvilhall.registry import Registry
-from anvilhall.traces import TraceHeader
+from anvilhall.replay.traces import TraceHeader
 
 if TYPE_CHECKING:
-    from anvilhall.broker import Ticket
+    from anvilhall.core.broker import Ticket
     from anvilhall_standins.simfleet import SimFleet
 
 
--- a/src/anvilhall/replay.py
+++ b/src/anvilhall/replay/player.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from anvilhall.baselines import BASELINES
+from anvilhall.core.policies import DEFAULT_POLICY, POLICIES
+from anvilhall.core.settings import JsonObject
+from anvilhall.core.tree import Tree
 from anvilhall.jobs import Job
-from anvilhall.policies import DEFAULT_POLICY, POLICIES
 from anvilhall.registry import Registry
-from anvilhall.scores import ReplayScore, score_replay
-from anvilhall.settings import JsonObject
-from anvilhall.traces import Trace, TraceEvent, TraceRequest
-from anvilhall.tree import Tree
+from anvilhall.replay.baselines import BASELINES
+from anvilhall.replay.scores import ReplayScore, score_replay
+from anvilhall.replay.traces import Trace, TraceEvent, TraceRequest
 from anvilhall_standins.modelrunner import RunnerModel
 from anvilhall_standins.simfleet import (
     CallRecord,
--- a/src/anvilhall/scores.py
+++ b/src/anvilhall/replay/scores.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from anvilhall.traces import Trace, TraceRequest
-from anvilhall.tree import Tree
+from anvilhall.core.tree import Tree
+from anvilhall.replay.traces import Trace, TraceRequest
 from anvilhall_standins.modelrunner import ModelRunner
 from anvilhall_standins.simfleet import CallRecord
 
--- a/src/anvilhall/traces.py
+++ b/src/anvilhall/replay/traces.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from anvilhall.settings import Fault, SettingsFaulty
+from anvilhall.core.settings import Fault, SettingsFaulty
 
 
 class TracePool(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
+from anvilhall.core.messages import Grant
 from anvilhall.events import Answer
 from anvilhall.exceptions import UnknownPath
 from anvilhall.jobs import Job
-from anvilhall.messages import Grant
 from anvilhall.outbound import Call
 from anvilhall.registry import Registry
 
--- a/src/anvilhall_standins/simfleet.py
+++ b/src/anvilhall_standins/simfleet.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
+from anvilhall.core.members import Member
+from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.publication import SETTINGS_STREAM, Publication
 from anvilhall.exceptions import AnvilhallError
 from anvilhall.execution import Execution
 from anvilhall.instance import Instance, Surroundings
 from anvilhall.jobs import ChatBody, Job
 from anvilhall.local import Listen, LocalConfig, Platform, Timings
-from anvilhall.memberlist import Member
 from anvilhall.outbound import Reply
-from anvilhall.policies import DEFAULT_POLICY
-from anvilhall.publication import SETTINGS_STREAM, Publication
 from anvilhall_standins.modelrunner import (
     ModelRunner,
     RunnerModel,
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -13,6 +13,15 @@
 import msgspec
 from tornado.httputil import HTTPHeaders
 
+from anvilhall.core.members import Member, MemberList
+from anvilhall.core.messages import (
+    Heartbeat,
+    Hello,
+    Message,
+    UnknownMessage,
+    decode_message,
+    encode_message,
+)
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
@@ -26,15 +35,6 @@
 from anvilhall.links import PROTOCOL_VERSION, LinkEvents
 from anvilhall.local import LocalConfig
 from anvilhall.logservice import Page, Record
-from anvilhall.memberlist import Member, MemberList
-from anvilhall.messages import (
-    Heartbeat,
-    Hello,
-    Message,
-    UnknownMessage,
-    decode_message,
-    encode_message,
-)
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Call, Reply, Transfer
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,12 +9,12 @@
 from tornado.web import Application, RequestHandler
 
 from anvilhall.clock import SystemClock
+from anvilhall.core.publication import Publication
 from anvilhall.events import decode_answer
 from anvilhall.exceptions import AnvilhallError
 from anvilhall.instance import Instance
 from anvilhall.local import Listen, LocalConfig, Platform, Timings
 from anvilhall.outbound import Call, CurlOutbound, Transfer
-from anvilhall.publication import Publication
 from anvilhall_standins.engine import (
     ChatRequest,
     Engine,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,8 @@
 import pytest
 
 from anvilhall.clock import ManualClock
-from anvilhall.settings import TeamNode, decode_node
-from anvilhall.tree import Tree, hash_key
+from anvilhall.core.settings import TeamNode, decode_node
+from anvilhall.core.tree import Tree, hash_key
 
 START = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -8,12 +8,12 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from anvilhall import execution as execution_module
-from anvilhall import retries as retries_module
 from anvilhall import upstreams as upstreams_module
 from anvilhall.claims import ClaimKeeper
+from anvilhall.core import retries as retries_module
+from anvilhall.core.ledger import Entry, KeyState, Ledger
+from anvilhall.core.publication import SettingsState
 from anvilhall.execution import Execution
-from anvilhall.ledger import Entry, KeyState, Ledger
-from anvilhall.publication import SettingsState
 from tests.machine import FleetMachine
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '25'))
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -7,8 +7,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then
 
-from anvilhall.replay import run_replay
-from anvilhall.traces import Trace
+from anvilhall.replay.player import run_replay
+from anvilhall.replay.traces import Trace
 
 scenarios('outcomes.feature')
 
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from anvilhall.publication import Publication, SettingsState
+from anvilhall.core.publication import Publication, SettingsState
 
 Records = list[tuple[int, Publication]]
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -1,8 +1,8 @@
 """A class queue keeps state only of accounts that need it."""
 
-from anvilhall.messages import Ask
-from anvilhall.queues import ClassQueue, Waiting
-from anvilhall.settings import ClassSettings
+from anvilhall.core.messages import Ask
+from anvilhall.core.queues import ClassQueue, Waiting
+from anvilhall.core.settings import ClassSettings
 
 
 def test_idle_accounts_are_forgotten():
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from anvilhall.messages import Ask, Grant, Refusal, Release
-from anvilhall.schedules import is_active
-from anvilhall.settings import Schedule, Window, decode_node
-from anvilhall.shard import Seat, Shard
-from anvilhall.tree import Tree
+from anvilhall.core.messages import Ask, Grant, Refusal, Release
+from anvilhall.core.schedules import is_active
+from anvilhall.core.settings import Schedule, Window, decode_node
+from anvilhall.core.shard import Seat, Shard
+from anvilhall.core.tree import Tree
 
 WALL = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
 
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from anvilhall.core.settings import SettingsFaulty, decode_node
+from anvilhall.core.tree import Tree, hash_key
 from anvilhall.exceptions import ClassNotAllowed, UnknownAccount, UnknownClass
-from anvilhall.settings import SettingsFaulty, decode_node
-from anvilhall.tree import Tree, hash_key
 
 
 def _build(**nodes):
--- a/tools/bench/control.py
+++ b/tools/bench/control.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from anvilhall.ledger import Claim, Ledger, LedgerBatch
-from anvilhall.messages import (
+from anvilhall.core.ledger import Claim, Ledger, LedgerBatch
+from anvilhall.core.messages import (
     Ask,
     Grant,
     Heartbeat,
@@ -19,10 +19,10 @@
     Release,
     encode_message,
 )
-from anvilhall.publication import Publication, SettingsState
-from anvilhall.settings import decode_node
-from anvilhall.shard import Seat, Shard
-from anvilhall.tree import Tree, hash_key
+from anvilhall.core.publication import Publication, SettingsState
+from anvilhall.core.settings import decode_node
+from anvilhall.core.shard import Seat, Shard
+from anvilhall.core.tree import Tree, hash_key
 from anvilhall_standins.modelrunner import RunnerModel
 from anvilhall_standins.simfleet import SimFleet, attach_chat
 from anvilhall_standins.virtualloop import VirtualLoop, run_virtual
--- a/tools/bench/relay.py
+++ b/tools/bench/relay.py
@@ -7,8 +7,8 @@
 import msgspec
 import psutil
 
+from anvilhall.core.tree import hash_key
 from anvilhall.outbound import Call, CurlOutbound, Transfer
-from anvilhall.tree import hash_key
 from tools.bench.processes import (
     Processes,
     find_port,
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from anvilhall.replay import run_replay
-from anvilhall.scores import ReplayScore
-from anvilhall.traces import Trace
+from anvilhall.replay.player import run_replay
+from anvilhall.replay.scores import ReplayScore
+from anvilhall.replay.traces import Trace
 
 WORKERS = 5
 
--- a/tools/make_error_table.py
+++ b/tools/make_error_table.py
@@ -2,8 +2,8 @@
 
 import pathlib
 
+from anvilhall.core.settings import SettingsFaulty
 from anvilhall.exceptions import AnvilhallError, list_errors
-from anvilhall.settings import SettingsFaulty
 
 PAGE = pathlib.Path('docs/errors.md')
 HEAD = """# Error codes
