--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -41,8 +41,6 @@
 EXIT_UNKNOWN = 4
 EXIT_UNREACHABLE = 5
 
-#: Calls in flight at once.
-_MAX_CALLS = 32
 _STATUS_TIMEOUT_S = 2.0
 
 _EXITS = {
@@ -322,7 +320,7 @@
 async def _read_statuses(
     instances: tuple[str, ...],
 ) -> dict[str, Status | None]:
-    outbound = CurlOutbound(_MAX_CALLS)
+    outbound = CurlOutbound()
     reads = [_read_status(outbound, url) for url in instances]
     return dict(zip(instances, await asyncio.gather(*reads), strict=True))
 
@@ -341,7 +339,7 @@
     work: Callable[[LogClient], Coroutine[Any, Any, _Returned]],
 ) -> _Returned:
     async def run() -> _Returned:  # noqa: WPS430
-        return await work(HttpLogClient(log_url, CurlOutbound(_MAX_CALLS)))
+        return await work(HttpLogClient(log_url, CurlOutbound()))
 
     try:
         return _run_async(run())
--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from anvilhall import defaults
 from anvilhall.clock import Clock
 from anvilhall.core.directory import Directory
 from anvilhall.core.messages import (
@@ -18,6 +19,7 @@
     Inventory,
     Pause,
     Progress,
+    Queued,
     Refusal,
     Release,
 )
@@ -60,12 +62,14 @@
 class _Pending:
     """An ask without an answer."""
 
-    __slots__ = ('ask', 'asked_at', 'foreign', 'target', 'ticket')
+    __slots__ = ('ask', 'asked_at', 'foreign', 'queued', 'target', 'ticket')
 
     def __init__(self, ask: Ask, ticket: Ticket, now: float) -> None:
         self.ask = ask
         self.ticket = ticket
         self.asked_at = now
+        #: Whether the target has confirmed that the request waits there.
+        self.queued = False
         #: Instance that has the request in its queue; ``None``: nobody.
         self.target: str | None = None
         #: Owners in other regions that remain to be asked; ``None``: not yet
@@ -87,6 +91,16 @@
         self.tokens = 0
 
 
+class Patience(msgspec.Struct, frozen=True, kw_only=True):
+    """How long this instance waits for owners, in seconds."""
+
+    #: Until an owner's first answer to an ask; ``None``: until it is known
+    #: to be gone.
+    answer_s: float | None = None
+    #: For inventories, on becoming an owner.
+    settling_s: float = defaults.SETTLING_S
+
+
 class Broker:
     """Asks owners for grants on behalf of this instance's requests.
 
@@ -95,6 +109,7 @@
     :param directory: who owns what.
     :param send: sends a request's message to another instance.
     :param forward: carries an owned shard's answer to another instance.
+    :param patience: how long owners are waited for.
     """
 
     __slots__ = (
@@ -104,8 +119,10 @@
         '_forward',
         '_name',
         '_owners',
+        '_patience',
         '_pending',
         '_running',
+        '_mute',
         '_send',
         'owner',
     )
@@ -118,8 +135,10 @@
         send: Send,
         forward: Forward,
         policy: str = DEFAULT_POLICY,
+        patience: Patience | None = None,
     ) -> None:
         """Start with no requests."""
+        self._patience = patience or Patience()
         self._name = name
         self._clock = clock
         self._directory = directory
@@ -129,7 +148,14 @@
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
         #: The shards that this instance owns; its own answers come directly.
-        self.owner = Owner(clock, self._route_answer, policy)
+        self.owner = Owner(
+            clock,
+            self._route_answer,
+            policy,
+            self._patience.settling_s,
+        )
+        #: Owners that let an ask go unanswered and were not heard of since.
+        self._mute: set[str] = set()
         self._fallback = Owner(clock, self._take_fallback_answer, policy)
 
     @property
@@ -168,6 +194,8 @@
             self._take_grant(sender, message)
         elif isinstance(message, Refusal):
             self._take_refusal(sender, message)
+        elif isinstance(message, Queued):
+            self._take_queued(sender, message)
         else:
             self._take_pause(message)
 
@@ -216,15 +244,24 @@
         for pending in list(self._pending.values()):
             if pending.target is None:
                 self._place(pending)
+            elif self._is_unanswered(pending, now):
+                self._mute.add(pending.target)
+                self._tell_withdrawn(pending)
+                self._ask_fallback(pending)
             elif now - pending.asked_at >= SPILL_AFTER_S:
                 pending.asked_at = now
                 self._spill(pending)
 
+    def note_heard(self, instance: str) -> None:
+        """Note a message from an instance: it answers again."""
+        self._mute.discard(instance)
+
     def drop_link(self, instance: str) -> None:
         """Ask elsewhere for what was asked of an instance now out of reach."""
         for pending in self._pending.values():
             if pending.target == instance:
                 pending.target = None
+                pending.queued = False
 
     def _place(self, pending: _Pending) -> None:
         pool = pending.ask.pool
@@ -237,6 +274,9 @@
             pending.target = owner
             self.owner.handle(self._name, pending.ask)
             return
+        if owner in self._mute:
+            self._ask_fallback(pending)
+            return
         try:
             self._send(owner, pending.ask)
         except PeerUnreachable:
@@ -247,6 +287,7 @@
     def _ask_fallback(self, pending: _Pending) -> None:
         share = 1.0 / max(1, len(self._directory.live))
         pending.target = _FALLBACK
+        pending.queued = False
         self._fallback.take_over(pending.ask.pool, (), share)
         self._fallback.handle(self._name, pending.ask)
 
@@ -268,6 +309,17 @@
             return True
         return False
 
+    def _is_unanswered(self, pending: _Pending, now: float) -> bool:
+        if pending.queued or pending.target in {_FALLBACK, self._name}:
+            return False
+        limit_s = self._patience.answer_s
+        return limit_s is not None and now - pending.asked_at >= limit_s
+
+    def _take_queued(self, sender: str, queued: Queued) -> None:
+        pending = self._pending.get(queued.request_id)
+        if pending and pending.target == sender:
+            pending.queued = True
+
     def _take_grant(self, sender: str, grant: Grant) -> None:
         pending = self._pending.pop(grant.request_id, None)
         if pending is None:
@@ -352,6 +404,7 @@
             if owner and pending.target not in {owner, None}:
                 self._tell_withdrawn(pending)
                 pending.target = None
+                pending.queued = False
 
     def _is_home(self, running: _Running) -> bool:
         seats = self._directory.list_seats(running.ask.pool)
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -66,7 +66,7 @@
         """
         unreached = self._find_unreached()
         return [
-            Seat(member.name, member.address, member.leaving)
+            Seat(member.name, member.address, member.leaving, member.slots)
             for member in self._members.values()
             if member.pool == pool
             and member.region == self._region
--- a/src/anvilhall/core/members.py
+++ b/src/anvilhall/core/members.py
@@ -14,6 +14,10 @@
     pool: str = ''
     leaving: bool = False
     region: str = ''
+    #: Requests that an upstream runs at once; 0: as its pool's settings say.
+    slots: int = 0
+    #: Unix milliseconds of an upstream's start; 0: unknown.
+    born: int = 0
 
 
 class MemberList(msgspec.Struct, frozen=True):
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -27,18 +27,19 @@
     prompt_tokens: int
     #: Longest answer that the caller accepts, in tokens.
     max_tokens: int
-    #: Key of the prompt's shared beginning, empty if there is none.
-    prefix: str
-    #: Size of that beginning, in tokens.
-    prefix_tokens: int
     #: Seconds from now until the deadline.
     deadline_s: float
+    #: Leading parts of the prompt that other requests may share, in order:
+    #: the key of each and its size in tokens.
+    parts: tuple[tuple[str, int], ...] = ()
     #: Runners that failed this request already.
     avoid: tuple[str, ...] = ()
     #: Tokens of the answer that the caller has already.
     delivered_tokens: int = 0
     #: Whether the request must be granted now or refused.
     at_once: bool = False
+    #: Tier in place of the class's own, from the client account.
+    tier: int | None = None
 
 
 class Grant(_Message, frozen=True):
@@ -62,6 +63,12 @@
     retry_after_s: float | None = None
 
 
+class Queued(_Message, frozen=True):
+    """The owner has the request in its queue."""
+
+    request_id: str
+
+
 class Pause(_Message, frozen=True):
     """The owner asks that a running request gives up its runner."""
 
@@ -198,6 +205,7 @@
     Ask
     | Grant
     | Refusal
+    | Queued
     | Pause
     | Progress
     | Release
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -15,6 +15,7 @@
     Inventory,
     Pause,
     Progress,
+    Queued,
     Refusal,
     Release,
 )
@@ -26,7 +27,7 @@
 #: Code of a refusal by an instance that does not own the shard.
 NOT_OWNER = 'not_owner'
 
-OwnerMessage = Grant | Refusal | Pause
+OwnerMessage = Grant | Refusal | Queued | Pause
 Deliver = Callable[[str, OwnerMessage], None]
 
 
@@ -49,17 +50,28 @@
 
     :param clock: source of time.
     :param deliver: sends a message to an instance, this one included.
+    :param settling_s: seconds that a new owner waits for inventories.
     """
 
-    __slots__ = ('_clock', '_deliver', '_owned', '_policy', '_seats', '_tree')
+    __slots__ = (
+        '_clock',
+        '_deliver',
+        '_owned',
+        '_policy',
+        '_seats',
+        '_settling_s',
+        '_tree',
+    )
 
     def __init__(
         self,
         clock: Clock,
         deliver: Deliver,
         policy: str = DEFAULT_POLICY,
+        settling_s: float = defaults.SETTLING_S,
     ) -> None:
         """Start owning nothing."""
+        self._settling_s = settling_s
         self._policy = POLICIES.get(policy)
         self._clock = clock
         self._deliver = deliver
@@ -110,7 +122,7 @@
         shard = Shard(pool, self._tree, self._policy)
         shard.share = share
         shard.set_runners(self._seats.get(pool, ()))
-        until = self._clock.monotonic() + defaults.SETTLING_S
+        until = self._clock.monotonic() + self._settling_s
         self._owned[pool] = _Owned(shard, set(peers), until)
 
     def resign(self, pool: str) -> None:
@@ -136,6 +148,8 @@
         self._dispatch(owned)
         if isinstance(message, Ask) and message.at_once:
             self._refuse_waiting(owned, sender, message.request_id)
+        elif isinstance(message, Ask):
+            self._confirm_waiting(owned, sender, message.request_id)
 
     def drop_sender(self, sender: str) -> None:
         """Free all that an instance held that is gone."""
@@ -192,6 +206,15 @@
         )
         self._deliver(sender, refusal)
 
+    def _confirm_waiting(
+        self,
+        owned: _Owned,
+        sender: str,
+        request_id: str,
+    ) -> None:
+        if owned.shard.is_waiting(request_id):
+            self._deliver(sender, Queued(request_id))
+
     def _refuse_foreign(self, sender: str, request_id: str) -> None:
         reason = 'this instance does not own the shard'
         refusal = Refusal(request_id=request_id, code=NOT_OWNER, reason=reason)
--- a/src/anvilhall/core/queues.py
+++ b/src/anvilhall/core/queues.py
@@ -22,6 +22,7 @@
         'ask',
         'class_settings',
         'cost_tokens',
+        'deadline_at',
         'expires_at',
         'line',
         'sender',
@@ -42,8 +43,12 @@
         self.ask = ask
         self.class_settings = class_settings
         self.arrived_at = now
-        #: Deadline in monotonic seconds.
-        self.expires_at = now + ask.deadline_s
+        self.deadline_at = now + ask.deadline_s
+        #: When the request is refused if it still waits, monotonic seconds.
+        self.expires_at = self.deadline_at
+        if class_settings.wait_limit_s is not None:
+            limit_at = now + class_settings.wait_limit_s
+            self.expires_at = min(self.deadline_at, limit_at)
         #: Tokens that the request is charged for fairness.
         self.cost_tokens = ask.prompt_tokens + ask.max_tokens
         #: Requests of one line are served in order of their deadlines.
--- a/src/anvilhall/core/retries.py
+++ b/src/anvilhall/core/retries.py
@@ -9,7 +9,9 @@
     Outcome,
     RequestRefused,
     UpstreamFailed,
+    UpstreamFull,
     UpstreamRefused,
+    UpstreamReplaced,
 )
 
 
@@ -19,16 +21,19 @@
     :param share: retries per first attempt.
     """
 
-    __slots__ = ('_firsts', '_retries', 'share')
+    __slots__ = ('_firsts', '_retries', 'minimum', 'share')
 
     def __init__(self, share: float) -> None:
         """Start with an empty window."""
         self.share = share
+        #: Retries allowed regardless of the share.
+        self.minimum = defaults.RETRY_BUDGET_MIN
         self._firsts: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
     def note_first(self, now: float) -> None:
         """Count a first attempt; ``now`` in monotonic seconds."""
+        _drop_older(self._firsts, now - defaults.RETRY_WINDOW_S)
         self._firsts.append(now)
 
     def try_spend(self, now: float) -> bool:
@@ -37,7 +42,7 @@
         _drop_older(self._firsts, oldest)
         _drop_older(self._retries, oldest)
         allowed = max(
-            defaults.RETRY_BUDGET_MIN,
+            self.minimum,
             int(len(self._firsts) * self.share),
         )
         if len(self._retries) >= allowed:
@@ -83,3 +88,63 @@
 def _drop_older(times: collections.deque[float], oldest: float) -> None:
     while times and times[0] < oldest:
         times.popleft()
+
+
+class RetryBudgets:
+    """The share of one instance in the retries that each pool may get.
+
+    All instances together stay within a share of the first attempts and a
+    fixed number on top; each takes an equal part of that number.
+
+    :param share: retries per first attempt.
+    :param slack: retries of all instances together beyond the share.
+    """
+
+    __slots__ = ('_by_pool', '_share', '_slack', 'instances')
+
+    def __init__(self, share: float, slack: float) -> None:
+        """Start with empty windows."""
+        self._share = share
+        self._slack = slack
+        self._by_pool: dict[str, RetryBudget] = {}
+        #: Instances among which the slack is divided.
+        self.instances = 1
+
+    def note_first(self, pool: str, now: float) -> None:
+        """Count a first attempt; ``now`` in monotonic seconds."""
+        self._get_budget(pool).note_first(now)
+
+    def try_spend(self, pool: str, now: float) -> bool:
+        """Take one retry at a pool, if there is one left."""
+        budget = self._get_budget(pool)
+        budget.minimum = int(self._slack / max(1, self.instances))
+        return budget.try_spend(now)
+
+    def _get_budget(self, pool: str) -> RetryBudget:
+        budget = self._by_pool.get(pool)
+        if budget is None:
+            budget = RetryBudget(self._share)
+            self._by_pool[pool] = budget
+        return budget
+
+
+def may_resend(
+    error: AnvilhallError,
+    *,
+    retryable: bool,
+    resumable: bool,
+    begun: bool,
+) -> bool:
+    """Return whether a relayed request may go to another runner.
+
+    :param retryable: whether the request may run more than once.
+    :param resumable: whether a stream can be continued elsewhere.
+    :param begun: whether the caller has got a part of the answer.
+    """
+    if isinstance(error, UpstreamRefused | UpstreamFull | UpstreamReplaced):
+        return not begun or resumable
+    if not isinstance(error, UpstreamFailed):
+        return False
+    if resumable:
+        return True
+    return retryable and not begun
--- /dev/null
+++ b/src/anvilhall/core/routes.py
@@ -0,0 +1,117 @@
+"""Routes: which pool serves a request, by its host and path."""
+
+import zlib
+
+import msgspec
+
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import UnknownPath
+
+_CRC_RANGE = 1 << 32
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the requests of one host and path prefix go, and what they need."""
+
+    #: Also the name of the request class in the settings tree.
+    name: str
+    host: str
+    #: Begins and ends with a slash.
+    path_prefix: str
+    #: Pools with their shares of the requests.
+    pools: tuple[tuple[str, float], ...]
+    #: Whether answers are streams of events.
+    streaming: bool = False
+    #: Whether a request may run more than once.
+    idempotent: bool = False
+    #: Whether a broken stream may go on at another runner.
+    resumable: bool = False
+    #: Runners to which one request may be sent.
+    attempts: int = 1
+    #: Time from arrival to the end of the answer, in seconds.
+    timeout_s: float = 30.0
+    #: Time to the first event, or to the whole answer, in seconds.
+    objective_s: float = 1.0
+    #: Whether requests need no key.
+    public: bool = False
+
+    @property
+    def retryable(self) -> bool:
+        """Whether a request may be sent again after it may have run."""
+        return self.idempotent and not self.streaming
+
+    def choose_pool(self, request_id: str) -> str:
+        """Return the pool of a request; the same one for the same identifier.
+
+        :raises UnknownPath: if the route has no pool.
+        """
+        total = sum(share for _, share in self.pools)
+        if total <= 0:
+            raise UnknownPath(f'route {self.name} has no pool')
+        point = zlib.crc32(request_id.encode()) / _CRC_RANGE * total
+        for pool, share in self.pools:
+            point -= share
+            if point < 0:
+                return pool
+        return self.pools[-1][0]
+
+
+class RouteTable:
+    """Routes by host and longest path prefix."""
+
+    __slots__ = ('_by_host',)
+
+    def __init__(self, routes: tuple[Route, ...]) -> None:
+        """Index the routes."""
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route:
+        """Return the route of a request.
+
+        :raises UnknownPath: if no route matches.
+        """
+        prefixes = self._by_host.get(host.partition(':')[0].lower(), {})
+        end = len(path)
+        while end > 0:
+            end = path.rfind('/', 0, end) + 1
+            route = prefixes.get(path[:end])
+            if route:
+                return route
+            end -= 1
+        raise UnknownPath(f'no route for {path}')
+
+
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What callers may send, and how long they may be idle."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    #: Seconds for which an idle connection of a caller stays open.
+    idle_s: float = 60.0
+
+
+class RoutingSettings:
+    """One version of the routes with all that they refer to."""
+
+    __slots__ = ('encoded', 'limits', 'table', 'tree', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        tree: Tree,
+        table: RouteTable,
+        limits: RequestLimits,
+        encoded: bytes,
+    ) -> None:
+        """Keep the parts.
+
+        :param encoded: the form in which instances pass the version on.
+        """
+        self.version = version
+        self.tree = tree
+        self.table = table
+        self.limits = limits
+        self.encoded = encoded
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -9,7 +9,7 @@
 from anvilhall.core.settings import Pool
 
 #: Shared prompt beginnings remembered for one runner.
-_PREFIXES_KEPT = 256
+_PREFIXES_KEPT = 4096
 #: Weight of the newest observation in the slowdown average.
 _SLOWDOWN_WEIGHT = 0.3
 #: Slowdown from which a runner counts as a straggler.
@@ -71,6 +71,7 @@
     """Slot account, prefix beliefs and health of one runner."""
 
     __slots__ = (
+        '_cached_tokens',
         '_failures',
         '_long_gaps',
         '_policy',
@@ -81,6 +82,7 @@
         'address',
         'leaving',
         'name',
+        'own_slots',
         'slowdown',
         'works',
     )
@@ -99,10 +101,13 @@
         self._pool = pool
         self.works: dict[str, Work] = {}
         self.leaving = False
+        #: Requests that it runs at once; 0: as the pool's settings say.
+        self.own_slots = 0
         self.slowdown = 1.0
         self._prefixes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._cached_tokens = 0
         self._failures = 0
         self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
         self._probe_at = 0.0
@@ -115,6 +120,11 @@
             return False
         return self._failures > 0 or self.slowdown >= STRAGGLER_SLOWDOWN
 
+    @property
+    def slots(self) -> int:
+        """Requests that the runner runs at once."""
+        return self.own_slots or self._pool.slots
+
     def set_pool(self, pool: Pool) -> None:
         """Take over changed settings of the pool."""
         self._pool = pool
@@ -129,7 +139,7 @@
             return False
         if self.suspect and (self._probing or now < self._probe_at):
             return False
-        if len(self.works) + spare_slots >= self._pool.slots:
+        if len(self.works) + spare_slots >= self.slots:
             return False
         if not self._policy.protect_short:
             return True
@@ -157,6 +167,15 @@
         harm_s = self._predict_prefill_s(ask) * held_up
         return predicted_s + harm_s + _PACKING_S * (1 - rank)
 
+    def count_cached_tokens(self, ask: Ask) -> int:
+        """Return how much of the prompt is taken to be cached."""
+        cached = 0
+        for part, tokens in ask.parts:
+            if part not in self._prefixes:
+                break
+            cached += tokens
+        return min(cached, ask.prompt_tokens)
+
     def predict_first_token_s(self, ask: Ask) -> float:
         """Predict the time to the first token of a further request."""
         prefill_s = self._predict_backlog_s() + self._predict_prefill_s(ask)
@@ -172,8 +191,8 @@
         self.works[work.request_id] = work
         if self.suspect:
             self._probing = work.request_id
-        if ask.prefix and self._policy.use_prefixes:
-            self._remember_prefix(ask.prefix, ask.prefix_tokens)
+        if self._policy.use_prefixes:
+            self._remember_parts(ask)
 
     def remove_work(self, request_id: str) -> Work | None:
         """Free the slot of a request."""
@@ -213,8 +232,8 @@
         return step_ms / _MS_PER_S
 
     def _predict_prefill_s(self, ask: Ask) -> float:
-        cached = min(self._prefixes.get(ask.prefix, 0), ask.prompt_tokens)
-        return (ask.prompt_tokens - cached) / self._pool.prefill_tokens_per_s
+        uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
+        return uncached / self._pool.prefill_tokens_per_s
 
     def _predict_backlog_s(self) -> float:
         backlog = sum(
@@ -276,8 +295,13 @@
         kept = (1 - _SLOWDOWN_WEIGHT) * self.slowdown
         self.slowdown = max(1.0, kept + _SLOWDOWN_WEIGHT * ratio)
 
-    def _remember_prefix(self, prefix: str, tokens: int) -> None:
-        self._prefixes.pop(prefix, None)
-        self._prefixes[prefix] = tokens
-        if len(self._prefixes) > _PREFIXES_KEPT:
-            self._prefixes.popitem(last=False)
+    def _remember_parts(self, ask: Ask) -> None:
+        """Take the prompt's parts for cached; the oldest ones yield."""
+        for part, tokens in ask.parts:
+            self._cached_tokens += tokens - self._prefixes.pop(part, 0)
+            self._prefixes[part] = tokens
+        while self._prefixes and (
+            len(self._prefixes) > _PREFIXES_KEPT
+            or self._cached_tokens > self._pool.cache_tokens
+        ):
+            self._cached_tokens -= self._prefixes.popitem(last=False)[1]
--- a/src/anvilhall/core/settings.py
+++ b/src/anvilhall/core/settings.py
@@ -65,6 +65,9 @@
     floor_interval_s: float = defaults.FLOOR_INTERVAL_S
     #: Time from arrival to the end of the answer, in seconds.
     deadline_s: float = defaults.DEADLINE_S
+    #: Longest wait for a runner before the request is refused, in seconds;
+    #: ``None``: until its deadline.
+    wait_limit_s: float | None = None
     limits: Limits = Limits()
     #: Caller paths that select the class when no header names one.
     paths: tuple[str, ...] = ()
@@ -79,6 +82,8 @@
     classes: tuple[str, ...] = ()
     #: Class of requests that name none and whose path selects none.
     default_class: str | None = None
+    #: Tier of the account's requests in place of their classes'.
+    tier: int | None = None
     #: Share relative to the other accounts of a class.
     weight: float = 1.0
     limits: Limits = Limits()
@@ -104,6 +109,8 @@
     long_slots: int | None = None
     #: Long prompt tokens in prefill at once on one runner.
     long_prefill_tokens: int = 65536
+    #: Tokens that one runner's prefix cache is taken to hold.
+    cache_tokens: int = 200_000
     queue_limit: int = defaults.QUEUE_LIMIT
     prefill_tokens_per_s: float = 6000.0
     step_base_ms: float = 20.0
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -35,6 +35,8 @@
 )
 
 _MS_PER_S = 1000.0
+#: Seconds after which a caller that was refused for load may return.
+_RETRY_AFTER_S = 1.0
 #: Share of all granted tokens that pauses may cause to be read again.
 _REDONE_SHARE = 0.005
 
@@ -45,6 +47,8 @@
     name: str
     address: str
     leaving: bool = False
+    #: Requests that it runs at once; 0: as the pool's settings say.
+    slots: int = 0
 
 
 class Action(msgspec.Struct, frozen=True):
@@ -130,6 +134,7 @@
                 )
                 self.runners[seat.name] = runner
             runner.leaving = seat.leaving
+            runner.own_slots = seat.slots
 
     def submit(self, sender: str, ask: Ask, now: float) -> list[Action]:
         """Take in a request; shed one if the queue is full.
@@ -154,7 +159,7 @@
         if dropped is None:
             return []
         self._forget(dropped.ask)
-        shed = Overloaded('shed for a request of a higher tier', 1.0)
+        shed = Overloaded('shed for a request of a higher tier', _RETRY_AFTER_S)
         return [_refuse(dropped.sender, dropped.ask.request_id, shed)]
 
     def dispatch(self, now: float, wall: dt.datetime) -> list[Action]:
@@ -172,6 +177,12 @@
             (waiting.sender, waiting.ask.request_id) for waiting in self._queue
         ]
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a request is in the queue."""
+        return (
+            request_id in self._senders and self._find_work(request_id) is None
+        )
+
     def withdraw(self, request_id: str) -> bool:
         """Take a request off the queue; return whether it was waiting."""
         waiting = self._queue.remove(request_id)
@@ -266,6 +277,8 @@
         settings = self._tree.classes.get(ask.class_name)
         if settings is None:
             raise UnknownClass(f'no class named {ask.class_name!r}')
+        if ask.tier is not None:
+            settings = msgspec.structs.replace(settings, tier=ask.tier)
         if not any(not runner.leaving for runner in self.runners.values()):
             raise NoRunner(f'no live runner of {self._pool_name}', 1.0)
         self._admission.check(ask, settings, now)
@@ -276,7 +289,7 @@
             return None
         dropped = self._queue.drop_lowest(settings.tier)
         if dropped is None:
-            raise Overloaded(retry_after_s=1.0)
+            raise Overloaded(retry_after_s=_RETRY_AFTER_S)
         return dropped
 
     def _refuse_expired(self, now: float) -> list[Action]:
@@ -285,7 +298,7 @@
             waiting = self._queue.remove(request_id)
             if waiting:
                 self._forget(waiting.ask)
-                error = DeadlinePassed()
+                error = _explain_expiry(waiting, now)
                 actions.append(_refuse(waiting.sender, request_id, error))
         return actions
 
@@ -306,11 +319,10 @@
         wall: dt.datetime,
     ) -> Runner | None:
         spare = self._count_spare_slots(work.tier, wall)
-        spare += self._pool.slots - self._slots
         fitting = [
             runner
             for runner in self.runners.values()
-            if runner.can_take(work, spare, now)
+            if runner.can_take(work, spare + self._count_others(runner), now)
         ]
         preferred = [
             runner for runner in fitting if runner.name not in waiting.ask.avoid
@@ -396,9 +408,9 @@
             and is_active(schedules[reserve.schedule], wall)
         )
 
-    @property
-    def _slots(self) -> int:
-        return max(1, int(self._pool.slots * self.share))
+    def _count_others(self, runner: Runner) -> int:
+        """Return the slots of a runner that are for other shards to use."""
+        return runner.slots - max(1, int(runner.slots * self.share))
 
     def _find_work(self, request_id: str) -> tuple[Runner, Work] | None:
         for runner in self.runners.values():
@@ -441,6 +453,12 @@
     return work.tier, -work.prefill_tokens - work.tokens
 
 
+def _explain_expiry(waiting: Waiting, now: float) -> RequestRefused:
+    if now >= waiting.deadline_at:
+        return DeadlinePassed()
+    return Overloaded('no runner within the wait limit', _RETRY_AFTER_S)
+
+
 def _refuse(sender: str, request_id: str, error: RequestRefused) -> Action:
     refusal = Refusal(
         request_id=request_id,
--- /dev/null
+++ b/src/anvilhall/core/views.py
@@ -0,0 +1,68 @@
+"""The view of the runners that a lagging registry gives.
+
+The registry drops the entry of a runner that falls silent, at times also while
+the registry itself is away. So what is missing just after its return is kept
+for a while: a live runner writes its entry again.
+"""
+
+from anvilhall.core.members import Member
+
+#: Seconds without contact from which the registry counts as away.
+AWAY_AFTER_S = 1.5
+#: Seconds after the registry's return within which live runners are back.
+RETURN_S = 2.0
+
+
+class RunnerView:
+    """Runners by name, from the records of a registry."""
+
+    __slots__ = ('_contact_at', '_members', '_missing', '_returned_at')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._members: dict[str, Member] = {}
+        #: Runners without an entry that may come back.
+        self._missing: set[str] = set()
+        self._contact_at: float | None = None
+        self._returned_at = -RETURN_S
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The runners, those included that may come back."""
+        return tuple(self._members.values())
+
+    def note_contact(self, now: float) -> None:
+        """Note an answer of the registry, before what it says is put in."""
+        last = self._contact_at
+        if last is not None and now - last > AWAY_AFTER_S:
+            self._returned_at = now
+        self._contact_at = now
+
+    def measure_age_s(self, now: float) -> float | None:
+        """Return the seconds since the last contact; ``None``: never."""
+        return None if self._contact_at is None else now - self._contact_at
+
+    def put(self, member: Member) -> None:
+        """Take in the entry of a runner."""
+        self._missing.discard(member.name)
+        self._members[member.name] = member
+
+    def remove(self, name: str, now: float) -> None:
+        """Take in that a runner has no entry any more."""
+        if now - self._returned_at < RETURN_S and name in self._members:
+            self._missing.add(name)
+        else:
+            self._members.pop(name, None)
+
+    def keep_only(self, names: set[str], now: float) -> None:
+        """Take in a complete list of the runners that have an entry."""
+        for name in list(self._members):
+            if name not in names:
+                self.remove(name, now)
+
+    def expire(self, now: float) -> None:
+        """Drop the runners that did not come back in time."""
+        if self._missing and now - self._returned_at >= RETURN_S:
+            for name in self._missing:
+                self._members.pop(name, None)
+            self._missing.clear()
--- a/src/anvilhall/daemon.py
+++ b/src/anvilhall/daemon.py
@@ -9,6 +9,7 @@
 
 from anvilhall.clock import SystemClock
 from anvilhall.core.settings import SettingsFaulty
+from anvilhall.gateway import Gateway
 from anvilhall.instance import Instance
 from anvilhall.local import LocalConfig
 from anvilhall.logs import start_logging
@@ -33,12 +34,20 @@
     asyncio.run(_run_until_signal(config))
 
 
+def build_program(config: LocalConfig) -> Instance | Gateway:
+    """Return the program that the settings describe."""
+    clock = SystemClock()
+    if config.relay:
+        return Gateway.from_config(config, config.relay, clock)
+    return Instance.from_config(config, clock)
+
+
 async def _run_until_signal(config: LocalConfig) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    instance = Instance.from_config(config, SystemClock())
+    instance = build_program(config)
     await instance.start()
     await stop.wait()
     await instance.stop()
--- a/src/anvilhall/events.py
+++ b/src/anvilhall/events.py
@@ -145,3 +145,57 @@
     for event in run.split(SEPARATOR):
         if _decode_event(event).error is not None:
             raise UpstreamGarbled('the engine reported an error mid-answer')
+
+
+class EventBorders:
+    """Lets whole events through and remembers the last one's identifier."""
+
+    __slots__ = ('_tail', 'last_id')
+
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        self._tail = b''
+        #: Identifier of the last whole event; empty if there is none.
+        self.last_id = ''
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Take in bytes and return the events that they complete.
+
+        :raises UpstreamGarbled: if an event is too long.
+        """
+        if self._tail:
+            chunk = self._tail + chunk
+        end = _find_last_border(chunk)
+        self._tail = chunk[end:]
+        if len(self._tail) > _EVENT_LIMIT_BYTES:
+            raise UpstreamGarbled('an event is too long')
+        events = chunk[:end]
+        if events:
+            self._remember_id(events)
+        return events
+
+    def drop_partial(self) -> None:
+        """Forget the beginning of an event."""
+        self._tail = b''
+
+    def _remember_id(self, events: bytes) -> None:
+        place = events.rfind(b'id:')
+        while place > 0 and events[place - 1 : place] not in _LINE_ENDS:
+            place = events.rfind(b'id:', 0, place)
+        if place >= 0:
+            line = events[place + len(b'id:') :].splitlines()[0]
+            self.last_id = line.strip().decode('utf-8', 'replace')
+
+
+#: What may stand before the first byte of a line.
+_LINE_ENDS = frozenset((b'\n', b'\r'))
+
+
+def _find_last_border(chunk: bytes) -> int:
+    """Return the end of the last whole event; 0: there is none."""
+    ends = [
+        chunk.rfind(border) + len(border)
+        for border in (SEPARATOR, b'\r\n\r\n')
+        if border in chunk
+    ]
+    return max(ends, default=0)
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -157,6 +157,18 @@
     status = HTTPStatus.BAD_GATEWAY
 
 
+class UpstreamFull(RequestRefused):
+    """The upstream stated that it has not run the request."""
+
+    code = 'upstream_full'
+
+
+class UpstreamReplaced(RequestRefused):
+    """Another upstream has the address; it has not run the request."""
+
+    code = 'upstream_replaced'
+
+
 class RunUncertain(AnvilhallError):
     """The request may have run."""
 
@@ -204,6 +216,12 @@
     code = 'upstream_garbled'
 
 
+class UpstreamErred(UpstreamFailed):
+    """The upstream answered that it failed to serve the request."""
+
+    code = 'upstream_erred'
+
+
 class UpstreamStalled(UpstreamFailed):
     """The upstream made no progress within its time limit."""
 
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Protocol
 
+from tornado.httputil import HTTPHeaders
+
 from anvilhall import defaults
 from anvilhall.claims import ClaimKeeper
 from anvilhall.clock import Clock
@@ -25,13 +26,13 @@
     DeadlinePassed,
     Outcome,
     Paused,
-    RequestRefused,
     UpstreamCut,
     UpstreamFailed,
     UpstreamGarbled,
     UpstreamRefused,
     UpstreamStalled,
 )
+from anvilhall.grants import GrantTicket
 from anvilhall.jobs import Job
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Outbound, Reply, Transfer
@@ -58,39 +59,6 @@
         """Take the whole response of a plain service."""
 
 
-class GrantTicket:
-    """Turns the broker's answers into a future."""
-
-    __slots__ = ('_on_pause', 'future', 'paused')
-
-    def __init__(self) -> None:
-        """Start without an answer."""
-        loop = asyncio.get_running_loop()
-        self.future: asyncio.Future[Grant] = loop.create_future()
-        self._on_pause: Transfer | None = None
-        #: Whether the owner has asked for the slot.
-        self.paused = False
-
-    def take_grant(self, grant: Grant) -> None:
-        """Resolve the future."""
-        self.future.set_result(grant)
-
-    def take_refusal(self, error: RequestRefused) -> None:
-        """Fail the future."""
-        if not self.future.done():
-            self.future.set_exception(error)
-
-    def take_pause(self) -> None:
-        """Abort the transfer of the granted attempt."""
-        if self._on_pause:
-            self.paused = True
-            self._on_pause.abort()
-
-    def bind(self, transfer: Transfer) -> None:
-        """Abort this transfer when the owner asks for the slot."""
-        self._on_pause = transfer
-
-
 class Services:
     """What every execution needs."""
 
@@ -218,18 +186,7 @@
         now = self._services.clock.monotonic()
         delivered = decode_answer(self._runs).tokens if self._runs else 0
         ask = self._job.describe(now, self._avoid, delivered)
-        broker.ask(ask, ticket)
-        try:
-            return await ticket.future
-        except asyncio.CancelledError:
-            self._give_up(ticket)
-            raise
-
-    def _give_up(self, ticket: GrantTicket) -> None:
-        broker = self._services.broker
-        broker.withdraw(self._job.request_id)
-        if ticket.future.done() and not ticket.future.cancelled():
-            broker.release(_end_unused(self._job))
+        return await ticket.wait(broker, ask)
 
     async def _claim_key(self) -> None:
         needed = self._job.key and not self._job.settings.idempotent
@@ -360,7 +317,7 @@
         problems: list[AnvilhallError] = []
 
         def take(chunk: bytes) -> None:  # noqa: WPS430
-            if problems:
+            if problems or not accepted:
                 return
             try:
                 self._take_chunk(chunk, pass_on)
@@ -368,19 +325,23 @@
                 problems.append(error)
                 self.transfer.abort()
 
-        body = _BodyGate(take)
+        accepted = False
+
+        def take_head(status: int, _: HTTPHeaders) -> None:  # noqa: WPS430
+            nonlocal accepted  # noqa: WPS420
+            accepted = status == _HTTP_OK
+
         timer = self._watch()
         try:
             reply = await self._services.outbound.stream(
                 call,
                 self.transfer,
-                body.take_chunk,
-                body.take_head_line,
+                take,
+                take_head,
             )
         except (UpstreamCut, UpstreamRefused, UpstreamStalled) as error:
             failure: AnvilhallError | None = self._name_stall(error)
         else:
-            body.finish(reply.status)
             failure = _judge_reply(reply)
         finally:
             timer.cancel()
@@ -507,45 +468,6 @@
             self._attempt.transfer.abort()
 
 
-class _BodyGate:
-    """Lets the body of a response through once its status is known to be 200.
-
-    The HTTP client reports the lines of the head on a later turn of the loop,
-    so that the first parts of a short body come before them.
-    """
-
-    __slots__ = ('_held', '_status', '_take')
-
-    def __init__(self, take: Callable[[bytes], None]) -> None:
-        self._take = take
-        self._status = 0
-        self._held: list[bytes] = []
-
-    def take_head_line(self, line: str) -> None:
-        if line.startswith('HTTP/'):
-            self._status = int(line.split()[1])
-        elif not line.strip():
-            self._let_through()
-
-    def take_chunk(self, chunk: bytes) -> None:
-        if self._status == _HTTP_OK and not self._held:
-            self._take(chunk)
-        elif self._status in {0, _HTTP_OK}:
-            self._held.append(chunk)
-
-    def finish(self, status: int) -> None:
-        """Let through what was held when the response has ended."""
-        self._status = status
-        self._let_through()
-
-    def _let_through(self) -> None:
-        held = self._held
-        self._held = []
-        if self._status == _HTTP_OK:
-            for chunk in held:
-                self._take(chunk)
-
-
 def _judge_reply(reply: Reply) -> AnvilhallError | None:
     if reply.status in _REFUSAL_STATUSES:
         return UpstreamRefused(f'the engine answered {reply.status}')
@@ -560,14 +482,6 @@
     return ''
 
 
-def _end_unused(job: Job) -> Release:
-    return Release(
-        pool=job.settings.pool,
-        request_id=job.request_id,
-        served=False,
-    )
-
-
 def _ignore_failure(order: 'asyncio.Future[Reply]') -> None:
     if not order.cancelled():
         order.exception()
--- /dev/null
+++ b/src/anvilhall/feeds.py
@@ -0,0 +1,333 @@
+"""Follows the manifest, the runners and the instances in the store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from anvilhall.clock import Clock
+from anvilhall.core.members import Member
+from anvilhall.core.routes import RoutingSettings
+from anvilhall.core.views import RunnerView
+from anvilhall.exceptions import (
+    AppendUncertain,
+    LogUnavailable,
+    PlatformError,
+    RecordsExpired,
+    SettingsError,
+)
+from anvilhall.logs import note_change
+from anvilhall.metrics import Metrics
+from anvilhall.platform.manifest import decode_manifest
+from anvilhall.platform.registration import (
+    UnusableEntry,
+    decode_instance,
+    decode_runner,
+    encode_instance,
+)
+from anvilhall.platform.store import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    INSTANCES_TOPIC,
+    RUNNERS_TOPIC,
+    KeyedPage,
+    KeyedRecord,
+    StoreClient,
+)
+
+#: Seconds that one long poll for a manifest may last.
+_MANIFEST_POLL_S = 10.0
+#: Seconds between reads of the runners' entries: two reads fit well into the
+#: two seconds after which a draining runner must get no more requests.
+_RUNNERS_INTERVAL_S = 0.8
+#: Seconds before a failed read is repeated; up to twice as long.
+_RETRY_S = 0.25
+#: Seconds from the start to the looks for other instances, and between looks
+#: from then on; links bring the news of new instances sooner.
+_INSTANCE_LOOKS_S = (0.5, 1.0, 2.0, 4.0)
+_INSTANCE_INTERVAL_S = 15.0
+
+
+class _Feed:
+    """Common part of the feeds: reads a topic, and again after failures."""
+
+    __slots__ = ('_chance', '_clock', '_metrics', '_store', '_topic', 'lost')
+
+    def __init__(
+        self,
+        topic: str,
+        store: StoreClient,
+        clock: Clock,
+        metrics: Metrics,
+        chance: random.Random,
+    ) -> None:
+        self._topic = topic
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._chance = chance
+        #: Whether the last call failed.
+        self.lost = False
+
+    async def run(self) -> None:
+        """Follow the topic for ever."""
+        while True:
+            try:
+                await self._follow()
+            except RecordsExpired:
+                note_change('history_expired', topic=self._topic)
+            except LogUnavailable as error:
+                self._note_lost(error)
+                await self._pause()
+
+    async def _follow(self) -> None:
+        raise NotImplementedError
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(_RETRY_S * (1 + self._chance.random()))
+
+    def _note_lost(self, error: PlatformError) -> None:
+        self._metrics.platform_failures.labels(self._topic, error.code).inc()
+        if not self.lost:
+            self.lost = True
+            note_change('store_lost', topic=self._topic, reason=error.reason)
+
+    def _note_contact(self) -> None:
+        if self.lost:
+            self.lost = False
+            note_change('store_regained', topic=self._topic)
+
+
+class ManifestFeed(_Feed):
+    """Keeps the newest version of the routing settings."""
+
+    __slots__ = ('_on_change', 'settings')
+
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        metrics: Metrics,
+        chance: random.Random,
+        on_change: Callable[[RoutingSettings], None],
+    ) -> None:
+        """Start without settings.
+
+        :param on_change: called with each newer version.
+        """
+        super().__init__(CONFIG_TOPIC, store, clock, metrics, chance)
+        self._on_change = on_change
+        self.settings: RoutingSettings | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force; -1: none."""
+        return self.settings.version if self.settings else -1
+
+    def take(self, encoded: bytes, source: str) -> None:
+        """Put a version in force if it is newer than the present one."""
+        try:
+            settings = decode_manifest(encoded)
+        except SettingsError as error:
+            note_change('manifest_refused', source=source, reason=error.reason)
+            self._metrics.verdicts.labels(error.code).inc()
+            return
+        if settings.version <= self.version:
+            return
+        note_change(
+            'settings_in_force',
+            version=settings.version,
+            before=self.version,
+            source=source,
+        )
+        self.settings = settings
+        self._metrics.settings_version.set(settings.version)
+        self._on_change(settings)
+
+    async def _follow(self) -> None:
+        page = await self._store.list_newest(self._topic)
+        self._apply(page)
+        while True:
+            page = await self._store.read(
+                self._topic,
+                page.next_offset,
+                _MANIFEST_POLL_S,
+            )
+            self._apply(page)
+
+    def _apply(self, page: KeyedPage) -> None:
+        self._note_contact()
+        newest: bytes | None = None
+        for record in page.records:
+            if record.key == CONFIG_KEY and record.content is not None:
+                newest = record.content
+        if newest is not None:
+            self.take(newest, 'store')
+
+
+class RunnersFeed(_Feed):
+    """Keeps the view of the runners."""
+
+    __slots__ = ('_on_change', '_region', '_view')
+
+    def __init__(
+        self,
+        region: str,
+        store: StoreClient,
+        clock: Clock,
+        metrics: Metrics,
+        chance: random.Random,
+        on_change: Callable[[tuple[Member, ...]], None],
+    ) -> None:
+        """Start without runners.
+
+        :param on_change: called with all runners after a change.
+        """
+        super().__init__(RUNNERS_TOPIC, store, clock, metrics, chance)
+        self._region = region
+        self._view = RunnerView()
+        self._on_change = on_change
+
+    def measure_age_s(self) -> float | None:
+        """Return the seconds since the store was last read."""
+        return self._view.measure_age_s(self._clock.monotonic())
+
+    async def _follow(self) -> None:
+        page = await self._store.list_newest(self._topic)
+        self._apply(page, complete=True)
+        while True:
+            await asyncio.sleep(_RUNNERS_INTERVAL_S)
+            page = await self._read(page.next_offset)
+            self._apply(page, complete=False)
+
+    async def _read(self, offset: int) -> KeyedPage:
+        while True:
+            try:
+                return await self._store.read(self._topic, offset, 0)
+            except LogUnavailable as error:
+                self._note_lost(error)
+                self._expire()
+            await self._pause()
+
+    def _apply(self, page: KeyedPage, *, complete: bool) -> None:
+        self._note_contact()
+        before = self._view.members
+        now = self._clock.monotonic()
+        self._view.note_contact(now)
+        for record in page.records:
+            self._apply_record(record, now)
+        if complete:
+            names = {record.key for record in page.records}
+            self._view.keep_only(names, now)
+        self._view.expire(now)
+        self._tell(before)
+
+    def _expire(self) -> None:
+        before = self._view.members
+        self._view.expire(self._clock.monotonic())
+        self._tell(before)
+
+    def _tell(self, before: tuple[Member, ...]) -> None:
+        after = self._view.members
+        if after != before:
+            _note_runner_changes(before, after)
+            self._on_change(after)
+
+    def _apply_record(self, record: KeyedRecord, now: float) -> None:
+        if record.content is None:
+            self._view.remove(record.key, now)
+            return
+        try:
+            self._view.put(decode_runner(record, self._region))
+        except UnusableEntry as error:
+            self._metrics.platform_failures.labels(
+                self._topic,
+                error.code,
+            ).inc()
+            note_change('entry_unusable', reason=error.reason)
+            self._view.remove(record.key, now)
+
+
+class InstancesFeed(_Feed):
+    """Announces this instance and finds the others."""
+
+    __slots__ = ('_on_change', '_own', 'members')
+
+    def __init__(
+        self,
+        own: Member,
+        store: StoreClient,
+        clock: Clock,
+        metrics: Metrics,
+        chance: random.Random,
+        on_change: Callable[[tuple[Member, ...]], None],
+    ) -> None:
+        """Start knowing of this instance only.
+
+        :param on_change: called with all instances after a change.
+        """
+        super().__init__(INSTANCES_TOPIC, store, clock, metrics, chance)
+        self._own = own
+        self._on_change = on_change
+        self.members: tuple[Member, ...] = (own,)
+
+    async def withdraw(self) -> None:
+        """Remove this instance's entry, as far as the store is there."""
+        try:
+            await self._store.put(
+                self._topic,
+                KeyedRecord(self._own.name, None),
+            )
+        except PlatformError as error:
+            # Links tell the others of the end; the entry does no harm.
+            note_change('entry_left_behind', reason=error.reason)
+
+    async def _follow(self) -> None:
+        await self._announce()
+        started_at = self._clock.monotonic()
+        for due_s in _INSTANCE_LOOKS_S:
+            waited_s = self._clock.monotonic() - started_at
+            await asyncio.sleep(max(0.0, due_s - waited_s))
+            await self._look()
+        while True:
+            await asyncio.sleep(_INSTANCE_INTERVAL_S)
+            await self._look()
+
+    async def _announce(self) -> None:
+        try:
+            await self._store.put(self._topic, encode_instance(self._own))
+        except AppendUncertain as error:
+            # Writing the same entry again does no harm.
+            raise LogUnavailable(error.reason) from error
+
+    async def _look(self) -> None:
+        page = await self._store.list_newest(self._topic)
+        self._note_contact()
+        found = {self._own.name: self._own}
+        for record in page.records:
+            if record.content is None:
+                continue
+            try:
+                member = decode_instance(record)
+            except UnusableEntry as error:
+                note_change('entry_unusable', reason=error.reason)
+                continue
+            found.setdefault(member.name, member)
+        members = tuple(found[name] for name in sorted(found))
+        if members != self.members:
+            self.members = members
+            self._on_change(members)
+
+
+def _note_runner_changes(
+    before: Iterable[Member],
+    after: Iterable[Member],
+) -> None:
+    """Write a line for the runners that came, left or began to drain."""
+    old = {(member.name, member.leaving) for member in before}
+    new = {(member.name, member.leaving) for member in after}
+    note_change(
+        'runners_changed',
+        came=sorted(name for name, leaving in new - old if not leaving),
+        leaving=sorted(name for name, leaving in new - old if leaving),
+        gone=sorted({name for name, _ in old} - {name for name, _ in new}),
+    )
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -4,7 +4,7 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
-from anvilhall.core.broker import Broker
+from anvilhall.core.broker import Broker, Patience
 from anvilhall.core.directory import Directory
 from anvilhall.core.members import MemberList
 from anvilhall.core.membership import Membership, Watch
@@ -18,6 +18,7 @@
     News,
     Pause,
     Progress,
+    Queued,
     Refusal,
     Release,
 )
@@ -111,6 +112,10 @@
             self._send_request,
             self._forward_answer,
             config.policy,
+            Patience(
+                answer_s=config.timings.owner_answer_s,
+                settling_s=config.timings.settling_s,
+            ),
         )
 
     @property
@@ -232,9 +237,10 @@
             self._gone_at[name] = self._clock.monotonic()
 
     def _take_message(self, sender: str, message: Message) -> None:
+        self.broker.note_heard(sender)
         if isinstance(message, Ask | Progress | Release | Inventory):
             self.broker.owner.handle(sender, message)
-        elif isinstance(message, Grant | Refusal | Pause):
+        elif isinstance(message, Grant | Refusal | Queued | Pause):
             self.broker.take_answer(sender, message)
         elif isinstance(message, Heartbeat):
             self._take_heartbeat(sender, message)
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
@@ -15,6 +14,7 @@
 from anvilhall.core.ledger import Ledger
 from anvilhall.core.members import MemberList
 from anvilhall.core.owner import summarise
+from anvilhall.core.settings import Fault, SettingsFaulty
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PlatformError
 from anvilhall.execution import Services
@@ -32,11 +32,10 @@
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
 from anvilhall.outbound import CurlOutbound, Outbound
+from anvilhall.tasks import TaskSet
 
 #: Seconds between rounds of work that is due by time.
 _TICK_S = 0.05
-#: Seconds before periodic work that a fault ended is started again.
-_RESTART_S = 0.25
 #: Seconds between looks at whether a shutdown is complete.
 _DRAIN_POLL_S = 0.05
 #: Seconds for which the balancer may still send requests after readiness fell.
@@ -75,8 +74,11 @@
     @classmethod
     def from_config(cls, config: LocalConfig, clock: Clock) -> 'Surroundings':
         """Build what the settings of the process name."""
-        outbound = CurlOutbound(config.max_calls)
+        outbound = CurlOutbound()
         platform = config.platform
+        if platform is None:
+            fault = Fault(path='platform', reason='missing')
+            raise SettingsFaulty([fault])
         log = LOG_CLIENTS.get(platform.log_client)(platform.log_url, outbound)
         membership = MEMBERSHIP_CLIENTS.get(platform.membership_client)(
             platform.membership_url,
@@ -146,7 +148,7 @@
             surroundings.chance,
         )
         self._servers: list[HTTPServer] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSet(self.metrics)
 
     @classmethod
     def from_config(cls, config: LocalConfig, clock: Clock) -> 'Instance':
@@ -169,11 +171,12 @@
     def start_work(self) -> None:
         """Begin the periodic work."""
         timings = self._config.timings
-        self._spawn(self._follower.run)
-        self._spawn(self._claims.run)
-        self._repeat(self._read_list, timings.membership_interval_s)
-        self._repeat(self._beat, timings.heartbeat_interval_s)
-        self._repeat(self._tick, _TICK_S)
+        tasks = self._tasks
+        tasks.spawn(self._follower.run)
+        tasks.spawn(self._claims.run)
+        tasks.repeat(self._read_list, timings.membership_interval_s)
+        tasks.repeat(self._beat, timings.heartbeat_interval_s)
+        tasks.repeat(self._tick, _TICK_S)
 
     async def stop(self) -> None:
         """Refuse new requests, end those in flight, hand ownership on."""
@@ -191,8 +194,7 @@
 
     def close(self) -> None:
         """Stop everything at once."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         for server in self._servers:
             server.stop()
         self._fleet.close()
@@ -258,32 +260,6 @@
         server.listen(port, host)
         self._servers.append(server)
 
-    def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
-        self._tasks.append(asyncio.ensure_future(self._keep_running(work)))
-
-    def _repeat(
-        self,
-        work: Callable[[], Awaitable[None]],
-        interval_s: float,
-    ) -> None:
-        async def repeat() -> None:  # noqa: WPS430
-            while True:
-                await work()
-                await asyncio.sleep(interval_s)
-
-        self._spawn(repeat)
-
-    async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
-        """Run work that never ends; start it again if a fault ends it."""
-        while True:
-            try:
-                await work()
-            except Exception as error:  # noqa: BLE001
-                kind = type(error).__name__
-                self.metrics.internal_errors.labels(kind).inc()
-                note_change('internal_error', error=kind, reason=str(error))
-            await asyncio.sleep(_RESTART_S)
-
 
 #: Body size beyond which the server itself closes the connection; below it
 #: the handler answers with a typed error.
--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -57,19 +57,13 @@
         return max(1, size // defaults.BYTES_PER_TOKEN)
 
     @property
-    def prefix_tokens(self) -> int:
-        """Estimated size of the first message, if others follow it."""
+    def parts(self) -> tuple[tuple[str, int], ...]:
+        """Hash and estimated size of the first message, if others follow it."""
         if len(self.messages) == 1:
-            return 0
-        return len(bytes(self.messages[0])) // defaults.BYTES_PER_TOKEN
-
-    @property
-    def prefix(self) -> str:
-        """Hash of the first message, if others follow it."""
-        if len(self.messages) == 1:
-            return ''
-        digest = hashlib.blake2b(bytes(self.messages[0]), digest_size=8)
-        return digest.hexdigest()
+            return ()
+        first = bytes(self.messages[0])
+        digest = hashlib.blake2b(first, digest_size=8)
+        return ((digest.hexdigest(), len(first) // defaults.BYTES_PER_TOKEN),)
 
 
 class Job:
@@ -133,8 +127,7 @@
             account=self.account,
             prompt_tokens=chat.prompt_tokens if chat else 1,
             max_tokens=chat.max_tokens if chat else 1,
-            prefix=chat.prefix if chat else '',
-            prefix_tokens=chat.prefix_tokens if chat else 0,
+            parts=chat.parts if chat else (),
             deadline_s=self.deadline_at - now,
             avoid=avoid,
             delivered_tokens=delivered_tokens,
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -62,6 +62,26 @@
     claim_timeout_s: float = defaults.CLAIM_TIMEOUT_S
     drain_timeout_s: float = defaults.DRAIN_TIMEOUT_S
     snapshot_interval_s: float = defaults.SNAPSHOT_INTERVAL_S
+    #: Time for an owner's first answer before this instance decides for
+    #: itself; ``None``: until the owner is known to be gone.
+    owner_answer_s: float | None = None
+    #: Time that a new owner waits for reports of what is running.
+    settling_s: float = defaults.SETTLING_S
+
+
+class RelayConfig(_Strict, frozen=True, kw_only=True):
+    """The relay of requests by route, on the users' platform."""
+
+    #: Host and port of the platform's store.
+    store: str
+    #: Retries per first attempt that all instances together may cause.
+    retry_share: float = defaults.RETRY_BUDGET_SHARE
+    #: Retries of all instances together beyond that share, over a window.
+    retry_slack: float = defaults.RETRY_BUDGET_MIN
+    #: Seconds from SIGTERM for which new requests are served.
+    linger_s: float = 2.5
+    #: Seconds after that for which requests in flight are waited for.
+    drain_s: float = 4.5
 
 
 class LocalConfig(_Strict, frozen=True, kw_only=True):
@@ -72,15 +92,16 @@
     failure_domain: str
     region: str = ''
     listen: Listen
-    platform: Platform
+    #: Services that settings and membership come from, unless the relay is
+    #: configured.
+    platform: Platform | None = None
+    relay: RelayConfig | None = None
     #: Shared secret of all instances.
     peer_key: str
     tls: Tls | None = None
     timings: Timings = Timings()
     #: Name of the policy by which owned shards are run.
     policy: str = DEFAULT_POLICY
-    #: Calls in flight at once to upstreams and the platform.
-    max_calls: int = 2 * defaults.OPEN_REQUESTS_LIMIT
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> 'LocalConfig':
--- a/src/anvilhall/operators.py
+++ b/src/anvilhall/operators.py
@@ -1,14 +1,13 @@
 """The operators' HTTP interface: health, readiness, metrics and status."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST
 from tornado.web import Application, RequestHandler
 
 from anvilhall.core.owner import OwnedSummary
-from anvilhall.gate import Gate
 from anvilhall.metrics import Metrics
 
 _CONTENT_TYPE = 'Content-Type'
@@ -38,6 +37,14 @@
     claims: int
 
 
+class Readiness(Protocol):
+    """Tells whether an instance takes requests."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+
+
 class HealthHandler(RequestHandler):
     """Answers whether the process works at all."""
 
@@ -49,7 +56,7 @@
 class ReadinessHandler(RequestHandler):
     """Answers whether the balancer should send requests here."""
 
-    def initialize(self, gate: Gate) -> None:
+    def initialize(self, gate: Readiness) -> None:
         """Take the gate from the application."""
         self._gate = gate
 
@@ -89,7 +96,7 @@
 
 
 def build_operator_app(
-    gate: Gate,
+    gate: Readiness,
     metrics: Metrics,
     describe: Callable[[], Status],
 ) -> Application:
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -1,15 +1,15 @@
-"""HTTP calls to upstreams and the platform, on tornado's curl client."""
+"""HTTP calls to upstreams and the platform."""
 
 import asyncio
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Protocol
 
 import msgspec
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.httputil import HTTPHeaders
 
+from anvilhall.curl import CurlDriver
 from anvilhall.exceptions import (
     UpstreamCut,
     UpstreamRefused,
@@ -18,13 +18,9 @@
 
 #: Largest whole body that is read into memory, in bytes.
 _BODY_LIMIT_BYTES = 16 * 1024 * 1024
-#: Largest stream, in bytes; curl counts streams against its body limit.
-_STREAM_LIMIT_BYTES = 1 << 40
-#: Non-zero return value that makes curl abort a transfer.
-_ABORT_TRANSFER = 1
-#: Seconds of silence before TCP probes the peer, and between probes.
-_KEEPALIVE_IDLE_S = 15
-_KEEPALIVE_INTERVAL_S = 5
+_MS_PER_S = 1000.0
+#: Headers that libcurl would add by itself; an empty value suppresses them.
+_SUPPRESSED = ('accept', 'content-type', 'expect', 'user-agent')
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,13 +28,18 @@
 
     url: str
     method: str = 'GET'
+    #: Repeated headers are sent if this is of tornado's own type.
     headers: Mapping[str, str] = {}
     body: bytes | None = None
+    #: Request target to send as it is, in place of the URL's path.
+    target: str = ''
     connect_timeout_s: float = 1.0
     #: Time for the whole exchange in seconds; 0: no limit.
     timeout_s: float = 0.0
     #: Whether a pooled connection must not be used.
     fresh: bool = False
+    #: Seconds for which an idle connection may be used again.
+    idle_limit_s: int = 60
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -53,7 +54,7 @@
     """Control and observation of one exchange while it runs.
 
     The request is sent over at most one connection: libcurl would otherwise
-    send a POST again when a pooled connection closes without an answer.
+    send it again when a pooled connection closes without an answer.
     """
 
     __slots__ = ('_aborted', '_stop', 'sent')
@@ -63,7 +64,7 @@
         #: Whether any byte of the request may have left this process.
         self.sent = False
         self._aborted = False
-        self._stop = asyncio.Event()
+        self._stop: asyncio.Future[None] | None = None
 
     @property
     def aborted(self) -> bool:
@@ -73,11 +74,14 @@
     def abort(self) -> None:
         """End the exchange; a request that was not sent never will be."""
         self._aborted = True
-        self._stop.set()
+        if self._stop and not self._stop.done():
+            self._stop.set_result(None)
 
     async def wait_for_abort(self) -> None:
         """Return when the exchange has been aborted."""
-        await self._stop.wait()
+        self._stop = asyncio.get_running_loop().create_future()
+        if not self._aborted:
+            await self._stop
 
     def note_sent(self) -> bool:
         """Note that the request is about to leave; return whether it may."""
@@ -86,24 +90,11 @@
         self.sent = True
         return True
 
-    def prepare_curl(self, curl: pycurl.Curl, fresh: bool) -> None:
-        """Install the callbacks on curl's handle."""
-        curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abort)
-        curl.setopt(pycurl.PREREQFUNCTION, self._note_send)
-        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
-        curl.setopt(pycurl.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-        curl.setopt(pycurl.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-        if fresh:
-            curl.setopt(pycurl.FRESH_CONNECT, 1)
-
-    def _check_abort(self, *_: Any) -> int:
-        return _ABORT_TRANSFER if self._aborted else 0
-
-    def _note_send(self, *_: Any) -> int:
-        if self.note_sent():
-            return int(pycurl.PREREQFUNC_OK)
-        return int(pycurl.PREREQFUNC_ABORT)
+    def bind(self, done: 'asyncio.Future[None]') -> None:
+        """Resolve this future when the exchange is aborted."""
+        self._stop = done
+        if self._aborted and not done.done():
+            done.set_result(None)
 
 
 class Outbound(Protocol):
@@ -119,31 +110,25 @@
         call: Call,
         transfer: Transfer,
         sink: Callable[[bytes], None],
-        head_sink: Callable[[str], None] | None = None,
+        head_sink: Callable[[int, HTTPHeaders], None] | None = None,
     ) -> Reply:
         """Exchange one request for a response that arrives in parts."""
 
 
 class CurlOutbound:
-    """Sends HTTP calls with tornado's curl client.
-
-    :param max_calls: calls in flight at once; further ones would queue
-        silently in the client, so this is set above all other limits.
-    """
+    """Sends HTTP calls with libcurl over one pool of connections."""
 
-    __slots__ = ('_client',)
+    __slots__ = ('_driver',)
 
-    def __init__(self, max_calls: int) -> None:
-        """Create a client of its own."""
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=max_calls,
-            max_body_size=_STREAM_LIMIT_BYTES,
-        )
+    def __init__(self) -> None:
+        """Start without a connection."""
+        self._driver: CurlDriver | None = None
 
     def close(self) -> None:
         """Drop all connections."""
-        self._client.close()
+        if self._driver:
+            self._driver.close()
+            self._driver = None
 
     async def fetch(
         self, call: Call, transfer: Transfer | None = None
@@ -174,73 +159,169 @@
         call: Call,
         transfer: Transfer,
         sink: Callable[[bytes], None],
-        head_sink: Callable[[str], None] | None = None,
+        head_sink: Callable[[int, HTTPHeaders], None] | None = None,
     ) -> Reply:
         """Exchange one request for a response that arrives in parts.
 
-        :param sink: called with each part of the body as it arrives.
-        :param head_sink: called with each line of the response's head.
+        :param sink: called with each part of the body as it arrives; an
+            exception in it ends the exchange.
+        :param head_sink: called with the status and headers of the response
+            before its body.
         :return: the response without its body, when it has ended.
         :raises UpstreamRefused: if the request was certainly not sent.
         :raises UpstreamStalled: if the time ran out after it was sent.
         :raises UpstreamCut: if the exchange broke after it was sent.
         """
-        request = self._build_request(call, transfer, sink, head_sink)
-        fetch = asyncio.ensure_future(
-            self._client.fetch(request, raise_error=False),
-        )
-        stop = asyncio.ensure_future(transfer.wait_for_abort())
-        try:
-            await asyncio.wait(
-                (fetch, stop),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        except asyncio.CancelledError:
-            transfer.abort()
-            raise
-        finally:
-            stop.cancel()
-            fetch.add_done_callback(_consume_exception)
-        if not fetch.done():
-            raise _describe_failure(transfer, 'aborted by this instance')
-        return _read_response(fetch, transfer)
-
-    def _build_request(
+        if self._driver is None:
+            self._driver = CurlDriver()
+        exchange = _Exchange(call, transfer, sink, head_sink)
+        return await exchange.run(self._driver)
+
+
+class _Exchange:
+    """One transfer from its first option to its last byte."""
+
+    __slots__ = (
+        '_call',
+        '_done',
+        '_failure',
+        '_head',
+        '_head_sink',
+        '_headers',
+        '_sink',
+        '_status',
+        '_transfer',
+    )
+
+    def __init__(
         self,
         call: Call,
         transfer: Transfer,
         sink: Callable[[bytes], None],
-        head_sink: Callable[[str], None] | None,
-    ) -> HTTPRequest:
-        return HTTPRequest(
-            call.url,
-            method=call.method,
-            headers=HTTPHeaders(dict(call.headers)),
-            body=call.body,
-            connect_timeout=call.connect_timeout_s,
-            request_timeout=call.timeout_s,
-            follow_redirects=False,
-            decompress_response=False,
-            allow_nonstandard_methods=True,
-            streaming_callback=sink,
-            header_callback=head_sink,
-            prepare_curl_callback=lambda curl: transfer.prepare_curl(
-                curl,
-                call.fresh,
-            ),
+        head_sink: Callable[[int, HTTPHeaders], None] | None,
+    ) -> None:
+        self._call = call
+        self._transfer = transfer
+        self._sink = sink
+        self._head_sink = head_sink
+        self._status = 0
+        self._headers = HTTPHeaders()
+        #: Whether the head of the final response is complete.
+        self._head = False
+        self._failure: tuple[int, str] | None = None
+        loop = asyncio.get_running_loop()
+        self._done: asyncio.Future[None] = loop.create_future()
+
+    async def run(self, driver: CurlDriver) -> Reply:
+        if self._transfer.aborted:
+            raise UpstreamRefused('aborted by this instance')
+        handle = driver.take_handle()
+        self._set_options(handle)
+        self._transfer.bind(self._done)
+        driver.start(handle, self._finish)
+        try:
+            await self._done
+        except asyncio.CancelledError:
+            self._transfer.abort()
+            raise
+        finally:
+            driver.cancel(handle)
+        return self._judge()
+
+    def _judge(self) -> Reply:
+        if self._failure is None:
+            raise _describe_failure(self._transfer, 'aborted by this instance')
+        number, message = self._failure
+        if number == pycurl.E_OPERATION_TIMEDOUT and self._transfer.sent:
+            raise UpstreamStalled(message)
+        if number or not self._head:
+            raise _describe_failure(self._transfer, message)
+        return Reply(self._status, self._headers, b'')
+
+    def _finish(self, number: int, message: str) -> None:
+        self._failure = (number, message)
+        if not self._done.done():
+            self._done.set_result(None)
+
+    def _set_options(self, handle: pycurl.Curl) -> None:
+        call = self._call
+        handle.setopt(pycurl.URL, call.url)
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.PROXY, '')
+        if call.target:
+            handle.setopt(pycurl.REQUEST_TARGET, call.target.encode('latin-1'))
+        handle.setopt(pycurl.HTTPHEADER, _list_header_lines(call))
+        _set_body(handle, call)
+        handle.setopt(
+            pycurl.CONNECTTIMEOUT_MS,
+            int(call.connect_timeout_s * _MS_PER_S),
         )
+        if call.timeout_s:
+            handle.setopt(
+                pycurl.TIMEOUT_MS,
+                max(1, int(call.timeout_s * _MS_PER_S)),
+            )
+        handle.setopt(pycurl.MAXAGE_CONN, call.idle_limit_s)
+        if call.fresh:
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.PREREQFUNCTION, self._note_send)
+        handle.setopt(pycurl.HEADERFUNCTION, self._take_header_line)
+        handle.setopt(pycurl.WRITEFUNCTION, self._take_chunk)
+
+    def _note_send(self, *_: object) -> int:
+        if self._transfer.note_sent():
+            return int(pycurl.PREREQFUNC_OK)
+        return int(pycurl.PREREQFUNC_ABORT)
 
-
-def _read_response(fetch: asyncio.Future[Any], transfer: Transfer) -> Reply:
-    try:
-        response = fetch.result()
-    except CurlError as error:
-        if error.errno == pycurl.E_OPERATION_TIMEDOUT and transfer.sent:
-            raise UpstreamStalled(str(error.message)) from error
-        raise _describe_failure(transfer, str(error.message)) from error
-    except (HTTPError, ValueError, OSError) as error:
-        raise _describe_failure(transfer, str(error)) from error
-    return Reply(response.code, response.headers, b'')
+    def _take_header_line(self, line: bytes) -> int | None:
+        if self._head:
+            # A trailer after the body.
+            return None
+        text = line.decode('latin-1').rstrip('\r\n')
+        if text.startswith('HTTP/'):
+            self._status = int(text.split(maxsplit=2)[1])
+            self._headers = HTTPHeaders()
+        elif text:
+            self._headers.parse_line(text)
+        elif self._status >= HTTPStatus.OK:
+            self._head = True
+            if self._head_sink and not self._transfer.aborted:
+                self._head_sink(self._status, self._headers)
+        return None
+
+    def _take_chunk(self, chunk: bytes) -> int | None:
+        if self._transfer.aborted:
+            return -1
+        self._sink(chunk)
+        return None
+
+
+def _list_header_lines(call: Call) -> list[bytes]:
+    pairs: Iterable[tuple[str, str]] = (
+        call.headers.get_all()
+        if isinstance(call.headers, HTTPHeaders)
+        else call.headers.items()
+    )
+    lines = [_format_header(name, text) for name, text in pairs]
+    named = {line.partition(':')[0].lower() for line in lines}
+    lines.extend(f'{name}:' for name in _SUPPRESSED if name not in named)
+    return [line.encode('latin-1') for line in lines]
+
+
+def _format_header(name: str, text: str) -> str:
+    # libcurl takes "Name:" for a wish to leave the header out.
+    return f'{name}: {text}' if text else f'{name};'
+
+
+def _set_body(handle: pycurl.Curl, call: Call) -> None:
+    if call.body is not None:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.POSTFIELDSIZE_LARGE, len(call.body))
+        handle.setopt(pycurl.POSTFIELDS, call.body)
+    elif call.method == 'HEAD':
+        handle.setopt(pycurl.NOBODY, 1)
+    if call.method != 'HEAD':
+        handle.setopt(pycurl.CUSTOMREQUEST, call.method)
 
 
 def _describe_failure(
@@ -250,8 +331,3 @@
     if transfer.sent:
         return UpstreamCut(reason)
     return UpstreamRefused(reason)
-
-
-def _consume_exception(fetch: asyncio.Future[Any]) -> None:
-    if not fetch.cancelled():
-        fetch.exception()
--- /dev/null
+++ b/src/anvilhall/relay.py
@@ -0,0 +1,361 @@
+"""The callers' interface that relays requests by host and path."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from http.client import responses
+from typing import Any
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from anvilhall.callers import encode_error
+from anvilhall.core.routes import RequestLimits, RoutingSettings
+from anvilhall.dialect import RequestHead
+from anvilhall.exceptions import (
+    AnvilhallError,
+    BodyTooLarge,
+    MalformedRequest,
+    NotReady,
+    Outcome,
+    ShuttingDown,
+    UnknownAccount,
+)
+from anvilhall.local import split_address
+from anvilhall.logs import note_change
+from anvilhall.relaying import Relay, RelayJob, RelayServices
+
+#: Bytes that may wait for a slow caller before its request is given up.
+_UNSENT_LIMIT_BYTES = 1024 * 1024
+#: Seconds after which a caller that came too early may return.
+_NOT_READY_RETRY_S = 0.5
+#: Statuses that say that a request has not run; any other error of this
+#: system's own with that outcome becomes 503.
+_NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.UNAUTHORIZED,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+#: Share by which an idle connection outlives the stated time: callers reuse
+#: connections until shortly before it.
+_IDLE_MARGIN = 1.1
+
+
+class RelayFront:
+    """State that all relayed requests of one instance share.
+
+    :param services: what a request needs to run.
+    :param get_settings: returns the routing settings in force, or ``None``.
+    """
+
+    __slots__ = ('_get_settings', 'draining', 'open_requests', 'services')
+
+    def __init__(
+        self,
+        services: RelayServices,
+        get_settings: Callable[[], RoutingSettings | None],
+    ) -> None:
+        """Start without requests."""
+        self.services = services
+        self._get_settings = get_settings
+        #: Whether new requests are refused because of a shutdown.
+        self.draining = False
+        self.open_requests = 0
+
+    @property
+    def settings(self) -> RoutingSettings:
+        """The routing settings in force.
+
+        :raises NotReady: if there are none yet.
+        """
+        settings = self._get_settings()
+        if settings is None:
+            raise NotReady(retry_after_s=_NOT_READY_RETRY_S)
+        return settings
+
+    def build_job(
+        self,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+    ) -> RelayJob:
+        """Describe a request from its head.
+
+        :raises AnvilhallError: if it is refused.
+        """
+        if self.draining:
+            raise ShuttingDown(retry_after_s=_NOT_READY_RETRY_S)
+        settings = self.settings
+        path = start_line.path.partition('?')[0]
+        route = settings.table.find(headers.get('Host', ''), path)
+        head = self.services.dialect.read_request(headers)
+        if not head.request_id:
+            raise MalformedRequest('the request has no identifier')
+        job = RelayJob(head, self.services.clock.monotonic())
+        job.method = start_line.method
+        job.target = start_line.path
+        job.headers = headers
+        job.route = route
+        job.tier = settings.tree.classes[route.name].tier
+        if not route.public:
+            self._identify(job, head, settings)
+        job.pool_name = route.choose_pool(head.request_id)
+        job.pool = settings.tree.pools[job.pool_name]
+        limits = [route.timeout_s]
+        if head.deadline_s is not None:
+            limits.append(head.deadline_s)
+        job.deadline_at = job.arrived_at + min(limits)
+        return job
+
+    def _identify(
+        self,
+        job: RelayJob,
+        head: RequestHead,
+        settings: RoutingSettings,
+    ) -> None:
+        if not head.key:
+            raise UnknownAccount('no key')
+        holder = settings.tree.get_holder(head.key)
+        job.account = holder.name
+        if holder.account.tier is not None:
+            job.tier = holder.account.tier
+
+
+class RelayRequest(HTTPMessageDelegate):
+    """One request on a caller's connection."""
+
+    def __init__(self, front: RelayFront, connection: HTTP1Connection) -> None:
+        """Start before the head."""
+        self._front = front
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._job: RelayJob | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._relay: Relay | None = None
+        self._error: AnvilhallError | None = None
+        self._answered = False
+        self._has_body = False
+        self._left = False
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        """Check the head of the request before its body is read."""
+        self._front.open_requests += 1
+        self._connection.stream.set_nodelay(True)
+        self._has_body = (
+            'Content-Length' in headers or 'Transfer-Encoding' in headers
+        )
+        try:
+            self._job = self._front.build_job(start_line, headers)
+            self._check_length(headers)
+        except BodyTooLarge as too_large:
+            self._refuse(too_large)
+        except AnvilhallError as error:
+            # A connection that is closed with unread bytes is reset, and the
+            # caller might lose the answer; so the body is read first.
+            self._error = error
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        if self._answered:
+            return
+        self._size += len(chunk)
+        limits = self._front.settings.limits
+        if self._size > limits.body_bytes:
+            self._parts.clear()
+            self._refuse(BodyTooLarge(f'over {limits.body_bytes} bytes'))
+            return
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        """Run the request: it has been read whole."""
+        if self._answered:
+            return
+        if self._error:
+            self._refuse(self._error)
+            return
+        job = self._job
+        if job is None:
+            return
+        if self._has_body:
+            job.body = b''.join(self._parts)
+        self._parts.clear()
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.ensure_future(self._run(job))
+
+    def on_connection_close(self) -> None:
+        """Stop working for a caller that has gone."""
+        if self._task:
+            self._task.cancel()
+        else:
+            self._leave()
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Send the head of the answer."""
+        self._answered = True
+        start_line = ResponseStartLine(
+            'HTTP/1.1',
+            status,
+            responses.get(status, 'Unknown'),
+        )
+        self._connection.write_headers(start_line, headers)
+
+    def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        self._front.services.metrics.bytes_relayed.inc(len(chunk))
+        self._connection.write(chunk)
+
+    async def _run(self, job: RelayJob) -> None:
+        metrics = self._front.services.metrics
+        metrics.requests.labels(job.route.name).inc()
+        relay = Relay(job, self, self._front.services)
+        self._relay = relay
+        code = 'served'
+        try:
+            await relay.run()
+        except AnvilhallError as error:
+            code = error.code
+            self._fail(error, relay)
+        except asyncio.CancelledError:
+            code = 'caller_gone'
+            metrics.uncertain.labels(code, job.route.name).inc()
+        else:
+            self._connection.finish()
+        finally:
+            self._leave()
+            self._note_end(job, relay, code)
+
+    def _fail(self, error: AnvilhallError, relay: Relay) -> None:
+        if not relay.begun:
+            self._refuse(error)
+            return
+        self._count(error)
+        # An answer that broke off must not look whole.
+        self._connection.close()
+
+    def _refuse(self, error: AnvilhallError) -> None:
+        """Answer with an error of this system."""
+        self._answered = True
+        self._count(error)
+        headers = HTTPHeaders({'Content-Type': 'application/json'})
+        request_id = self._job.request_id if self._job else ''
+        body = encode_error(error, request_id)
+        headers['Content-Length'] = str(len(body))
+        if error.retry_after_s is not None:
+            headers['Retry-After'] = f'{error.retry_after_s:.2f}'
+        status = choose_status(error)
+        start_line = ResponseStartLine('HTTP/1.1', status, responses[status])
+        if isinstance(error, BodyTooLarge):
+            # The rest of the request is not read.
+            headers['Connection'] = 'close'
+        self._connection.write_headers(start_line, headers, body)
+        self._connection.finish()
+        if self._task is None:
+            self._leave()
+
+    def _check_length(self, headers: HTTPHeaders) -> None:
+        declared = headers.get('Content-Length', '0')
+        limit = self._front.settings.limits.body_bytes
+        if declared.isdigit() and int(declared) > limit:
+            raise BodyTooLarge(f'the body exceeds {limit} bytes')
+
+    def _leave(self) -> None:
+        if not self._left:
+            self._left = True
+            self._front.open_requests -= 1
+
+    def _count(self, error: AnvilhallError) -> None:
+        metrics = self._front.services.metrics
+        refused = error.outcome is Outcome.NOT_RUN
+        counter = metrics.refusals if refused else metrics.uncertain
+        name = self._job.route.name if self._job else ''
+        counter.labels(error.code, name).inc()
+
+    def _note_end(self, job: RelayJob, relay: Relay, code: str) -> None:
+        now = self._front.services.clock.monotonic()
+        note_change(
+            'request_ended',
+            request_id=job.request_id,
+            route=job.route.name,
+            pool=job.pool_name,
+            account=job.account,
+            tier=job.tier,
+            result=code,
+            runners=relay.runners,
+            sends=relay.sends,
+            first_event_s=round(relay.first_event_s, 3),
+            elapsed_s=round(now - job.arrived_at, 3),
+        )
+
+
+class RelayServer(HTTPServerConnectionDelegate):
+    """Accepts callers' connections."""
+
+    def __init__(self, front: RelayFront, limits: RequestLimits) -> None:
+        """Serve with these limits until others are set."""
+        self._front = front
+        self._server = HTTPServer(
+            self,
+            max_header_size=limits.header_bytes,
+            idle_connection_timeout=limits.idle_s * _IDLE_MARGIN,
+        )
+
+    def listen(self, address: str) -> None:
+        """Accept connections at an address."""
+        host, port = split_address(address)
+        self._server.listen(port, host)
+
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Take over changed limits, for requests from now on."""
+        parameters = self._server.conn_params
+        parameters.max_header_size = limits.header_bytes
+        parameters.header_timeout = limits.idle_s * _IDLE_MARGIN
+
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer."""
+        self._server.conn_params.no_keep_alive = True
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close_all_connections()
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Take a request."""
+        assert isinstance(request_conn, HTTP1Connection)  # noqa: S101
+        limits = RequestLimits()
+        if not self._front.draining:
+            try:
+                limits = self._front.settings.limits
+            except NotReady:
+                limits = RequestLimits()
+        request_conn.set_max_body_size(limits.body_bytes)
+        return RelayRequest(self._front, request_conn)
+
+
+def choose_status(error: AnvilhallError) -> int:
+    """Return the status that callers of relayed routes get for an error."""
+    if error.outcome is not Outcome.NOT_RUN:
+        return int(error.status)
+    if error.status in _NOT_RUN_STATUSES:
+        return int(error.status)
+    return int(HTTPStatus.SERVICE_UNAVAILABLE)
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, Protocol
 
 import msgspec
@@ -449,7 +450,7 @@
         call: Call,
         transfer: Transfer,
         sink: Callable[[bytes], None],
-        head_sink: Callable[[str], None] | None = None,
+        head_sink: Callable[[int, HTTPHeaders], None] | None = None,
     ) -> Reply:
         """Exchange one request for a response that arrives in parts."""
         address = call.url.split('/')[2]
@@ -467,11 +468,10 @@
     work: 'asyncio.Future[int]',
     transfer: Transfer,
     call: Call,
-    head_sink: Callable[[str], None] | None,
+    head_sink: Callable[[int, HTTPHeaders], None] | None,
 ) -> Reply:
     if head_sink:
-        head_sink('HTTP/1.1 200 OK')
-        head_sink('')
+        head_sink(HTTPStatus.OK, HTTPHeaders())
     stop = asyncio.ensure_future(transfer.wait_for_abort())
     try:
         await asyncio.wait(
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -62,7 +62,7 @@
         self.books = {}
         self.instances = {}
         self.ports = {}
-        self.client = CurlOutbound(500)
+        self.client = CurlOutbound()
         self._servers = {}
         self.log_port = self._serve('log', build_log_app(self.store))
         self.list_port = self._serve('list', build_list_app(self.listing))
@@ -95,7 +95,6 @@
             ),
             peer_key='test',
             timings=timings,
-            max_calls=300,
         )
         self.ports[name] = ports[0]
         self._list(name, ports[1], domain, '')
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,7 +23,7 @@
         self.callers = {}
         self.operators = {}
         self.upstream_ports = {}
-        self.client = CurlOutbound(200)
+        self.client = CurlOutbound()
         self.members = []
         self.log_port = find_port()
         self.list_port = find_port()
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -30,7 +30,7 @@
         dropping = _DroppingServer()
         port = find_port()
         server = await asyncio.start_server(dropping.serve, '127.0.0.1', port)
-        outbound = CurlOutbound(10)
+        outbound = CurlOutbound()
         call = Call(url=f'http://127.0.0.1:{port}/', method='POST', body=b'')
         assert (await outbound.fetch(call)).body == b'ok'
         with pytest.raises(UpstreamCut):
@@ -45,7 +45,7 @@
 
 def test_refused_connection_is_known_not_to_be_sent():
     async def scenario():
-        outbound = CurlOutbound(10)
+        outbound = CurlOutbound()
         transfer = Transfer()
         call = Call(url=f'http://127.0.0.1:{find_port()}/')
         with pytest.raises(UpstreamRefused):
@@ -62,7 +62,7 @@
 
         port = find_port()
         server = await asyncio.start_server(hang, '127.0.0.1', port)
-        outbound = CurlOutbound(10)
+        outbound = CurlOutbound()
         transfer = Transfer()
         call = Call(url=f'http://127.0.0.1:{port}/')
         fetch = asyncio.ensure_future(outbound.fetch(call, transfer))
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -29,8 +29,6 @@
         account=account,
         prompt_tokens=tokens,
         max_tokens=100,
-        prefix='',
-        prefix_tokens=0,
         deadline_s=extra.pop('deadline_s', 60),
         **extra,
     )
--- a/tools/bench/control.py
+++ b/tools/bench/control.py
@@ -77,8 +77,7 @@
         account=f'account-{number % 10}',
         prompt_tokens=300,
         max_tokens=1024,
-        prefix='a1b2c3d4e5f60718',
-        prefix_tokens=120,
+        parts=(('a1b2c3d4e5f60718', 120),),
         deadline_s=120.0,
     )
 
--- a/tools/bench/relay.py
+++ b/tools/bench/relay.py
@@ -124,7 +124,7 @@
         'based_on': 0,
         'node': root,
     }
-    outbound = CurlOutbound(4)
+    outbound = CurlOutbound()
     url = f'http://127.0.0.1:{log_port}/streams/settings'
     body = msgspec.json.encode(record)
     await outbound.fetch(Call(url=url, method='POST', body=body))
@@ -136,7 +136,7 @@
 
 async def send_requests(port: int, count: int, events: int) -> int:
     """Send requests from workers; return the events that came back."""
-    outbound = CurlOutbound(STREAMS + WORKERS)
+    outbound = CurlOutbound()
     queue = list(range(count))
     seen = 0
 
--- a/tools/demo_session.py
+++ b/tools/demo_session.py
@@ -40,7 +40,7 @@
     def __init__(self, process_dir: pathlib.Path) -> None:
         """Find the process identifiers in a directory."""
         self._process_dir = process_dir
-        self._outbound = CurlOutbound(32)
+        self._outbound = CurlOutbound()
 
     async def publish(self) -> str:
         """Publish the example settings and wait until all are ready."""
