Judge runners against their pool, and gaps by chunks of prefill

Cause: links that both sides dial heard heartbeats on one of them only, so the other was closed every 1.6 s; every runner counted as a straggler, since its first tokens were compared with figures that leave the engine's base time out; dossiers broke the gaps of short streams beside them. Ruled out: late grants (245 of 406 asks were granted within 2 ms). Change: heartbeats in both directions of each link; health of a runner in a module of its own, relative to the pool's median, errors by share; gaps predicted from chunks, event size and backlog.

--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -143,14 +143,12 @@
 
 
 class Heartbeat(_Message, frozen=True):
-    """Sign of life on a link; the accepting side answers with its own."""
+    """Sign of life on a link; both sides send it."""
 
     incarnation: int
 
     #: Offset up to which settings records have been folded.
     settings_covers: int
-    #: Whether this answers a heartbeat.
-    answer: bool = False
 
 
 class News(_Message, frozen=True):
--- a/src/anvilhall/core/policies.py
+++ b/src/anvilhall/core/policies.py
@@ -25,6 +25,9 @@
     fair_accounts: bool = True
     #: Long requests may hold only part of a runner.
     protect_short: bool = True
+    #: Prefill that would bring the streams of higher tiers beyond their gap
+    #: waits; without, it only counts in the choice of a runner.
+    guard_gaps: bool = True
     #: Runners observed to be slow or failing get single probes.
     avoid_suspects: bool = True
     #: Cached prompt prefixes count in the choice of a runner.
@@ -38,6 +41,7 @@
 POLICIES: Registry[Policy] = Registry('policy')
 
 POLICIES.register(DEFAULT_POLICY)(Policy())
+POLICIES.register('relay')(Policy(guard_gaps=False))
 POLICIES.register('no-tiers')(Policy(tiers=False))
 POLICIES.register('no-floor')(Policy(floor=False))
 POLICIES.register('no-demote-late')(Policy(demote_late=False))
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+from anvilhall.core.health import Calibration, Health
 from anvilhall.core.limits import TokenBucket
 from anvilhall.core.messages import Ask
 from anvilhall.core.policies import Policy
@@ -10,24 +11,18 @@
 
 #: Shared prompt beginnings remembered for one runner.
 _PREFIXES_KEPT = 4096
-#: Weight of the newest observation in the slowdown average.
-_SLOWDOWN_WEIGHT = 0.3
-#: Slowdown from which a runner counts as a straggler.
-STRAGGLER_SLOWDOWN = 3.0
 #: Shortest first-token time that predictions assume, in seconds.
 _MIN_PREDICTION_S = 0.01
-#: Shortest and longest pause between probes of a failed runner, in seconds.
-_PROBE_MIN_S = 0.5
-_PROBE_MAX_S = 15.0
-#: Seconds between probes of a straggler.
-_STRAGGLER_PROBE_S = 2.0
 _MS_PER_S = 1000.0
 #: First-token time that is given up to keep tiers apart, in seconds.
 _PACKING_S = 0.1
 #: Cost of a gap beyond its target, for each stream that has it, in seconds.
 _COLLISION_S = 0.01
-#: Prompt tokens that engines take between two decode steps.
-_PREFILL_CHUNK_TOKENS = 512
+#: Share of a gap's target up to which a predicted gap counts as within it.
+_GAP_MARGIN = 0.9
+#: Cost of a stream whose gaps a prefill brings beyond their target, in
+#: seconds of first-token time.
+_BROKEN_GAP_S = 0.25
 #: Gaps beyond their target that a runner's higher tiers are made to bear.
 _LONG_GAPS_PER_S = 0.1
 
@@ -38,6 +33,7 @@
     __slots__ = (
         'account',
         'class_name',
+        'context_tokens',
         'first_token_seen',
         'gap_target_s',
         'granted_at',
@@ -48,6 +44,7 @@
         'runner',
         'tier',
         'tokens',
+        'uncached_tokens',
     )
 
     def __init__(self, request_id: str, class_name: str, account: str) -> None:
@@ -59,6 +56,10 @@
         self.tier = 0
         self.long = False
         self.prefill_tokens = 0
+        #: Prompt tokens that the runner does not have cached.
+        self.uncached_tokens = 0
+        #: Tokens that the request may come to hold in the runner's memory.
+        self.context_tokens = 0
         self.tokens = 0
         self.granted_at = 0.0
         self.predicted_s = 0.0
@@ -72,18 +73,16 @@
 
     __slots__ = (
         '_cached_tokens',
-        '_failures',
+        '_calibration',
         '_long_gaps',
         '_policy',
         '_pool',
         '_prefixes',
-        '_probe_at',
-        '_probing',
         'address',
+        'health',
         'leaving',
         'name',
         'own_slots',
-        'slowdown',
         'works',
     )
 
@@ -93,8 +92,11 @@
         address: str,
         pool: Pool,
         policy: Policy,
+        calibration: Calibration,
     ) -> None:
         """Start healthy and idle."""
+        self._calibration = calibration
+        self.health = Health(calibration)
         self._policy = policy
         self.name = name
         self.address = address
@@ -103,22 +105,16 @@
         self.leaving = False
         #: Requests that it runs at once; 0: as the pool's settings say.
         self.own_slots = 0
-        self.slowdown = 1.0
         self._prefixes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
         self._cached_tokens = 0
-        self._failures = 0
         self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
-        self._probe_at = 0.0
-        self._probing = ''
 
     @property
     def suspect(self) -> bool:
         """Whether the runner gets single probes only."""
-        if not self._policy.avoid_suspects:
-            return False
-        return self._failures > 0 or self.slowdown >= STRAGGLER_SLOWDOWN
+        return self._policy.avoid_suspects and self.health.suspect
 
     @property
     def slots(self) -> int:
@@ -129,23 +125,35 @@
         """Take over changed settings of the pool."""
         self._pool = pool
 
-    def can_take(self, work: Work, spare_slots: int, now: float) -> bool:
+    def can_take(
+        self,
+        work: Work,
+        spare_slots: int,
+        now: float,
+        *,
+        lenient: bool = False,
+    ) -> bool:
         """Return whether the runner has room for a request.
 
         :param spare_slots: slots to leave free for higher tiers.
         :param now: monotonic seconds.
+        :param lenient: whether suspicion counts for nothing, because most
+            runners of the pool are suspect.
         """
-        if self.leaving:
+        health = self.health
+        if self.leaving or health.is_full(now):
             return False
-        if self.suspect and (self._probing or now < self._probe_at):
+        if self.suspect and not lenient and not health.may_probe(now):
             return False
         if len(self.works) + spare_slots >= self.slots:
             return False
+        if not self._has_memory(work):
+            return False
         if not self._policy.protect_short:
             return True
         if work.long and not self._has_room_for_long(work):
             return False
-        return self._has_gaps_to_spare(work, now)
+        return not self._policy.guard_gaps or self._has_gaps_to_spare(work, now)
 
     def weigh_placement_s(self, ask: Ask, tier: int, rank: float) -> float:
         """Return the cost of placing a request here, in seconds.
@@ -165,6 +173,7 @@
             return predicted_s + harm_s + _PACKING_S * rank
         held_up = sum(work.tier < tier for work in self.works.values())
         harm_s = self._predict_prefill_s(ask) * held_up
+        harm_s += _BROKEN_GAP_S * self._count_broken(ask)
         return predicted_s + harm_s + _PACKING_S * (1 - rank)
 
     def count_cached_tokens(self, ask: Ask) -> int:
@@ -180,24 +189,27 @@
         """Predict the time to the first token of a further request."""
         prefill_s = self._predict_backlog_s() + self._predict_prefill_s(ask)
         nominal_s = max(prefill_s + self._predict_step_s(), _MIN_PREDICTION_S)
-        return nominal_s * self.slowdown
+        return nominal_s * self._relative_slowdown
 
     def add_work(self, work: Work, ask: Ask, now: float) -> None:
         """Give a slot to a request."""
         work.runner = self.name
         work.granted_at = now
-        work.predicted_s = self.predict_first_token_s(ask) / self.slowdown
+        work.predicted_s = (
+            self.predict_first_token_s(ask) / self._relative_slowdown
+        )
+        work.uncached_tokens = ask.prompt_tokens - self.count_cached_tokens(ask)
         self._spend_gaps(work, now)
         self.works[work.request_id] = work
         if self.suspect:
-            self._probing = work.request_id
+            self.health.probing = work.request_id
         if self._policy.use_prefixes:
             self._remember_parts(ask)
 
     def remove_work(self, request_id: str) -> Work | None:
         """Free the slot of a request."""
-        if self._probing == request_id:
-            self._probing = ''
+        if self.health.probing == request_id:
+            self.health.probing = ''
         return self.works.pop(request_id, None)
 
     def note_first_token(self, work: Work, first_token_s: float) -> None:
@@ -205,25 +217,22 @@
         if work.first_token_seen:
             return
         work.first_token_seen = True
-        self._note_ratio(first_token_s / work.predicted_s)
+        self._calibration.note_excess(first_token_s - work.predicted_s)
+        expected_s = work.predicted_s + self._calibration.base_s
+        self.health.note_ratio(first_token_s / expected_s)
 
     def note_gap(self, gap_s: float, now: float) -> None:
         """Compare the longest gap of a stream with the expected step time."""
         expected = self._predict_step_s() + self._predict_backlog_s()
         if gap_s > 0 and expected > 0:
-            self._note_ratio(gap_s / expected)
-        if self.suspect and self._probe_at < now:
-            self._probe_at = now + _STRAGGLER_PROBE_S
-
-    def note_failure(self, now: float) -> None:
-        """Stop granting until a probe succeeds."""
-        self._failures += 1
-        pause = _PROBE_MIN_S * 2 ** min(self._failures - 1, 10)
-        self._probe_at = now + min(pause, _PROBE_MAX_S)
+            self.health.note_ratio(gap_s / expected)
+        self.health.space_probes(now)
 
-    def note_success(self) -> None:
-        """Trust the runner again."""
-        self._failures = 0
+    @property
+    def _relative_slowdown(self) -> float:
+        return max(
+            1.0, self.health.slowdown / self._calibration.typical_slowdown
+        )
 
     def _predict_step_s(self) -> float:
         step_ms = self._pool.step_base_ms + (
@@ -235,13 +244,49 @@
         uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
         return uncached / self._pool.prefill_tokens_per_s
 
-    def _predict_backlog_s(self) -> float:
-        backlog = sum(
-            work.prefill_tokens
+    def _count_backlog_tokens(self) -> int:
+        """Return the granted prompt tokens that are still to be read."""
+        return sum(
+            work.uncached_tokens
             for work in self.works.values()
             if not work.first_token_seen
         )
-        return backlog / self._pool.prefill_tokens_per_s
+
+    def _predict_backlog_s(self) -> float:
+        return self._count_backlog_tokens() / self._pool.prefill_tokens_per_s
+
+    def _predict_gap_s(self, backlog_tokens: int) -> float:
+        """Return the longest gap between events while a backlog is read.
+
+        An event holds several tokens, and a chunk of the backlog is read
+        between each token and the next.
+        """
+        pool = self._pool
+        chunk = min(backlog_tokens, pool.prefill_chunk_tokens)
+        chunks = math.ceil(backlog_tokens / pool.prefill_chunk_tokens)
+        prefill_s = chunk / pool.prefill_tokens_per_s
+        slow_steps = min(chunks, pool.event_tokens)
+        decode_s = pool.event_tokens * self._predict_step_s()
+        gap_s = decode_s + slow_steps * prefill_s
+        return gap_s * self._relative_slowdown
+
+    def _count_broken(self, ask: Ask) -> int:
+        """Return how many streams a prefill would bring beyond their gap."""
+        backlog = self._count_backlog_tokens()
+        uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
+        gap_s = self._predict_gap_s(backlog + uncached)
+        before_s = self._predict_gap_s(backlog)
+        return sum(
+            before_s <= work.gap_target_s * _GAP_MARGIN < gap_s
+            for work in self.works.values()
+        )
+
+    def _has_memory(self, work: Work) -> bool:
+        limit = self._pool.memory_tokens
+        if not limit:
+            return True
+        held = sum(other.context_tokens for other in self.works.values())
+        return not held or held + work.context_tokens <= limit
 
     def _predict_collision_s(self, ask: Ask) -> float:
         """Return the harm of prefill that meets other prefill, in seconds."""
@@ -258,12 +303,13 @@
             for other in self.works.values()
             if other.tier < work.tier
         ]
-        longest_s = _PREFILL_CHUNK_TOKENS / self._pool.prefill_tokens_per_s
+        chunk = self._pool.prefill_chunk_tokens
+        longest_s = chunk / self._pool.prefill_tokens_per_s
         prefill_s = work.prefill_tokens / self._pool.prefill_tokens_per_s
         turn_s = min(longest_s, prefill_s + self._predict_backlog_s())
         if not targets or turn_s + self._predict_step_s() <= min(targets):
             return 0
-        return math.ceil(work.prefill_tokens / _PREFILL_CHUNK_TOKENS)
+        return math.ceil(work.prefill_tokens / chunk)
 
     def _has_gaps_to_spare(self, work: Work, now: float) -> bool:
         gaps = self._count_long_gaps(work)
@@ -291,10 +337,6 @@
             return False
         return len(others) < long_slots
 
-    def _note_ratio(self, ratio: float) -> None:
-        kept = (1 - _SLOWDOWN_WEIGHT) * self.slowdown
-        self.slowdown = max(1.0, kept + _SLOWDOWN_WEIGHT * ratio)
-
     def _remember_parts(self, ask: Ask) -> None:
         """Take the prompt's parts for cached; the oldest ones yield."""
         for part, tokens in ask.parts:
--- a/src/anvilhall/core/settings.py
+++ b/src/anvilhall/core/settings.py
@@ -118,6 +118,12 @@
     connect_timeout_s: float = defaults.CONNECT_TIMEOUT_S
     first_byte_timeout_s: float = defaults.FIRST_BYTE_TIMEOUT_S
     gap_timeout_s: float = defaults.GAP_TIMEOUT_S
+    #: Prompt tokens that engines take between two decode steps.
+    prefill_chunk_tokens: int = 512
+    #: Output tokens in one event of a stream.
+    event_tokens: int = 1
+    #: Tokens that running requests may hold on one runner; 0: no limit.
+    memory_tokens: int = 0
     reserves: tuple[Reserve, ...] = ()
 
 
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -11,6 +11,7 @@
 
 from anvilhall import defaults
 from anvilhall.core.admission import Admission
+from anvilhall.core.health import Calibration
 from anvilhall.core.messages import (
     Ask,
     Grant,
@@ -63,6 +64,7 @@
 
     __slots__ = (
         '_admission',
+        '_calibration',
         '_granted_tokens',
         '_policy',
         '_pool',
@@ -89,6 +91,7 @@
         self._queue = PoolQueue(self._policy)
         self._admission = Admission()
         self._senders: dict[str, str] = {}
+        self._calibration = Calibration()
         self.paused: set[str] = set()
         #: Tokens granted so far, and those read again because of pauses.
         self._granted_tokens = 0
@@ -131,6 +134,7 @@
                     seat.address,
                     self._pool,
                     self._policy,
+                    self._calibration,
                 )
                 self.runners[seat.name] = runner
             runner.leaving = seat.leaving
@@ -200,6 +204,7 @@
         work.long = work.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
         if progress.first_token_s:
             runner.note_first_token(work, progress.first_token_s)
+            self._calibrate()
         runner.note_gap(progress.gap_s, now)
 
     def release(self, release: Release, now: float) -> None:
@@ -211,10 +216,11 @@
         runner, work = found
         if release.first_token_s:
             runner.note_first_token(work, release.first_token_s)
+            self._calibrate()
         if release.failure:
-            runner.note_failure(now)
+            runner.health.note_failure(release.failure, now)
         elif release.served:
-            runner.note_success()
+            runner.health.note_success()
             self._admission.note_length(
                 work.class_name,
                 work.account,
@@ -255,6 +261,10 @@
                 )
                 self.release(ended, 0)
 
+    def _calibrate(self) -> None:
+        slowdowns = [runner.health.slowdown for runner in self.runners.values()]
+        self._calibration.set_slowdowns(slowdowns)
+
     def _repeat_answer(self, sender: str, ask: Ask) -> list[Action]:
         """Answer an ask that was sent again because a link broke."""
         self._senders[ask.request_id] = sender
@@ -319,10 +329,16 @@
         wall: dt.datetime,
     ) -> Runner | None:
         spare = self._count_spare_slots(work.tier, wall)
+        lenient = self._are_most_suspect()
         fitting = [
             runner
             for runner in self.runners.values()
-            if runner.can_take(work, spare + self._count_others(runner), now)
+            if runner.can_take(
+                work,
+                spare + self._count_others(runner),
+                now,
+                lenient=lenient,
+            )
         ]
         preferred = [
             runner for runner in fitting if runner.name not in waiting.ask.avoid
@@ -340,6 +356,15 @@
             ),
         )
 
+    def _are_most_suspect(self) -> bool:
+        """Return whether suspicion tells most of the runners apart no more."""
+        staying = [
+            runner.suspect
+            for runner in self.runners.values()
+            if not runner.leaving
+        ]
+        return sum(staying) * 2 > len(staying)
+
     def _rank_runners(self) -> dict[str, float]:
         last = max(1, len(self.runners) - 1)
         return {
@@ -441,6 +466,8 @@
     work = Work(ask.request_id, ask.class_name, ask.account)
     work.tier = waiting.class_settings.tier
     work.prefill_tokens = ask.prompt_tokens
+    work.uncached_tokens = ask.prompt_tokens
+    work.context_tokens = ask.prompt_tokens + ask.max_tokens
     work.long = ask.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
     gap_ms = waiting.class_settings.target.gap_ms
     if gap_ms:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -173,7 +173,7 @@
 
     def beat(self) -> None:
         """Send heartbeats and judge those of the others."""
-        self._links.beat(self._build_heartbeat(answer=False))
+        self._links.beat(self._build_heartbeat())
         news = self._membership.check_watched(self._clock.monotonic())
         self._spread(news)
         self._drop_silent_foreigners()
@@ -251,8 +251,6 @@
             handler(sender, message)
 
     def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
-        if not heartbeat.answer:
-            self._try_send(sender, self._build_heartbeat(answer=True))
         if self._regions.get(sender) != self._config.region:
             return
         now = self._clock.monotonic()
@@ -306,11 +304,10 @@
                 self._gone_at.pop(name)
                 self.broker.owner.drop_sender(name)
 
-    def _build_heartbeat(self, *, answer: bool) -> Heartbeat:
+    def _build_heartbeat(self) -> Heartbeat:
         return Heartbeat(
             incarnation=self._membership.incarnation,
             settings_covers=self.get_covers(),
-            answer=answer,
         )
 
 
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -145,7 +145,7 @@
         """Send a message to an instance."""
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on dialled links and close silent links."""
+        """Send a heartbeat on all links and close those that are silent."""
 
     def close(self) -> None:
         """Close all links and stop accepting."""
@@ -236,8 +236,8 @@
         link.send(message)
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on all dialled links and close silent links."""
-        for link in self._dialled.values():
+        """Send a heartbeat on all links and close those that are silent."""
+        for link in (*self._dialled.values(), *self._accepted.values()):
             link.send(heartbeat)
         oldest = asyncio.get_running_loop().time() - (
             self._config.timings.suspect_after_s
--- a/src/anvilhall/platform/manifest.py
+++ b/src/anvilhall/platform/manifest.py
@@ -30,6 +30,9 @@
 _CACHE_SHARE = 0.6
 #: Prompt tokens a second of an engine until observations correct it.
 _PREFILL_TOKENS_PER_S = 60_000.0
+#: Prompt tokens that an engine takes between two decode steps; a common
+#: setting of engines with chunked prefill.
+_PREFILL_CHUNK_TOKENS = 2048
 #: Time of a decode step, and what each stream adds, in milliseconds.
 _STEP_BASE_MS = 6.0
 _STEP_PER_STREAM_MS = 0.15
@@ -71,6 +74,8 @@
     slots: int = 16
     #: Tokens that running requests and cached parts share.
     kv_tokens: int = 0
+    #: Output tokens in one event of a stream.
+    stride: int = 1
 
 
 class _Service(msgspec.Struct):
@@ -206,5 +211,8 @@
         prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
         step_base_ms=_STEP_BASE_MS,
         step_per_stream_ms=_STEP_PER_STREAM_MS,
+        prefill_chunk_tokens=_PREFILL_CHUNK_TOKENS,
+        event_tokens=max(1, engine.stride),
+        memory_tokens=engine.kv_tokens,
         connect_timeout_s=_CONNECT_TIMEOUT_S,
     )
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -295,6 +295,7 @@
             result=code,
             runners=relay.runners,
             sends=relay.sends,
+            waits_s=relay.waits_s,
             first_event_s=round(relay.first_event_s, 3),
             elapsed_s=round(now - job.arrived_at, 3),
         )
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -160,6 +160,7 @@
         'first_event_s',
         'runners',
         'sends',
+        'waits_s',
     )
 
     def __init__(
@@ -182,6 +183,8 @@
         self.first_event_s = 0.0
         #: Runners in the order of the attempts.
         self.runners: list[str] = []
+        #: Seconds from each ask to its grant.
+        self.waits_s: list[float] = []
         #: Attempts in which the request may have left this process.
         self.sends = 0
 
@@ -224,6 +227,8 @@
             self._services.broker,
             job.describe(now, self._avoid),
         )
+        granted_at = self._services.clock.monotonic()
+        self.waits_s.append(round(granted_at - now, 3))
         self.runners.append(grant.runner)
         attempt = RelayAttempt(self, job, grant, self._services)
         try:
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -159,10 +159,9 @@
         self._network.carry(self._config.instance, name, frame)
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on wanted links and close silent links."""
-        for wanted in self._wanted:
-            if wanted in self._up:
-                self.send(wanted, heartbeat)
+        """Send a heartbeat on all links and close those that are silent."""
+        for name in list(self._up):
+            self.send(name, heartbeat)
         oldest = asyncio.get_running_loop().time() - (
             self._config.timings.suspect_after_s
         )
