--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -189,7 +189,6 @@
         except TimeoutError:
             note_change('drain_timeout', open=self.front.open_requests)
         withdrawal.cancel()
-        self.front.draining = True
         await self._server.close()
         self.close()
         note_change('stopped', instance=self._config.instance)
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -79,9 +79,9 @@
     #: Retries of all instances together beyond that share, over a window.
     retry_slack: float = defaults.RETRY_BUDGET_MIN
     #: Seconds from SIGTERM for which new requests are served.
-    linger_s: float = 2.5
+    linger_s: float = 2.3
     #: Seconds after that for which requests in flight are waited for.
-    drain_s: float = 4.5
+    drain_s: float = 5.1
 
 
 class LocalConfig(_Strict, frozen=True, kw_only=True):
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -1,6 +1,7 @@
 """The callers' interface that relays requests by host and path."""
 
 import asyncio
+import weakref
 from collections.abc import Callable
 from http import HTTPStatus
 from http.client import responses
@@ -61,7 +62,13 @@
     :param get_settings: returns the routing settings in force, or ``None``.
     """
 
-    __slots__ = ('_get_settings', 'draining', 'open_requests', 'services')
+    __slots__ = (
+        '_get_settings',
+        'closing',
+        'idle',
+        'open_requests',
+        'services',
+    )
 
     def __init__(
         self,
@@ -71,8 +78,11 @@
         """Start without requests."""
         self.services = services
         self._get_settings = get_settings
-        #: Whether new requests are refused because of a shutdown.
-        self.draining = False
+        #: Whether connections are closed as soon as they are idle.
+        self.closing = False
+        #: Connections on which no request has begun; those that callers
+        #: close drop out by themselves.
+        self.idle: weakref.WeakSet[RelayRequest] = weakref.WeakSet()
         self.open_requests = 0
 
     @property
@@ -95,7 +105,7 @@
 
         :raises AnvilhallError: if it is refused.
         """
-        if self.draining:
+        if self.closing:
             raise ShuttingDown(retry_after_s=_NOT_READY_RETRY_S)
         settings = self.settings
         path = start_line.path.partition('?')[0]
@@ -139,6 +149,7 @@
     def __init__(self, front: RelayFront, connection: HTTP1Connection) -> None:
         """Start before the head."""
         self._front = front
+        front.idle.add(self)
         self._connection = connection
         self._parts: list[bytes] = []
         self._size = 0
@@ -152,6 +163,7 @@
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Check the head of the request before its body is read."""
+        self._front.idle.discard(self)
         self._front.open_requests += 1
         self._connection.stream.set_nodelay(True)
         self._has_body = (
@@ -202,6 +214,11 @@
         else:
             self._leave()
 
+    def close(self) -> None:
+        """Close the connection, on which no request has begun."""
+        self._front.idle.discard(self)
+        self._connection.close()
+
     def begin(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of the answer."""
         self._answered = True
@@ -307,6 +324,7 @@
     def __init__(self, front: RelayFront, limits: RequestLimits) -> None:
         """Serve with these limits until others are set."""
         self._front = front
+        self._limits = limits
         self._server = HTTPServer(
             self,
             max_header_size=limits.header_bytes,
@@ -320,6 +338,7 @@
 
     def set_limits(self, limits: RequestLimits) -> None:
         """Take over changed limits, for requests from now on."""
+        self._limits = limits
         parameters = self._server.conn_params
         parameters.max_header_size = limits.header_bytes
         parameters.header_timeout = limits.idle_s * _IDLE_MARGIN
@@ -329,8 +348,11 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop(self) -> None:
-        """Accept no more connections."""
+        """Accept no more connections or requests."""
         self._server.stop()
+        self._front.closing = True
+        for request in list(self._front.idle):
+            request.close()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -343,14 +365,11 @@
     ) -> HTTPMessageDelegate:
         """Take a request."""
         assert isinstance(request_conn, HTTP1Connection)  # noqa: S101
-        limits = RequestLimits()
-        if not self._front.draining:
-            try:
-                limits = self._front.settings.limits
-            except NotReady:
-                limits = RequestLimits()
-        request_conn.set_max_body_size(limits.body_bytes)
-        return RelayRequest(self._front, request_conn)
+        request_conn.set_max_body_size(self._limits.body_bytes)
+        request = RelayRequest(self._front, request_conn)
+        if self._front.closing:
+            request.close()
+        return request
 
 
 def choose_status(error: AnvilhallError) -> int:
