--- a/src/anvilhall/core/health.py
+++ b/src/anvilhall/core/health.py
@@ -83,12 +83,17 @@
         #: Request that probes the runner; empty if none does.
         self.probing = ''
 
+    @property
+    def failing(self) -> bool:
+        """Whether the runner did not even take its last request."""
+        return self._failures > 0
+
     @property
     def suspect(self) -> bool:
         """Whether the runner gets single probes only."""
         limit = STRAGGLER_SLOWDOWN * self._calibration.typical_slowdown
         return (
-            self._failures > 0
+            self.failing
             or self._error_share > _ERROR_LIMIT
             or self.slowdown >= limit
         )
--- a/src/anvilhall/core/policies.py
+++ b/src/anvilhall/core/policies.py
@@ -28,6 +28,9 @@
     #: Prefill that would bring the streams of higher tiers beyond their gap
     #: waits; without, it only counts in the choice of a runner.
     guard_gaps: bool = True
+    #: The pool's base time and typical slowdown are learned, and a backlog
+    #: counts without what is cached; without, the settings' speeds hold.
+    calibrate: bool = False
     #: Runners observed to be slow or failing get single probes.
     avoid_suspects: bool = True
     #: Cached prompt prefixes count in the choice of a runner.
@@ -41,7 +44,7 @@
 POLICIES: Registry[Policy] = Registry('policy')
 
 POLICIES.register(DEFAULT_POLICY)(Policy())
-POLICIES.register('relay')(Policy(guard_gaps=False))
+POLICIES.register('relay')(Policy(guard_gaps=False, calibrate=True))
 POLICIES.register('no-tiers')(Policy(tiers=False))
 POLICIES.register('no-floor')(Policy(floor=False))
 POLICIES.register('no-demote-late')(Policy(demote_late=False))
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -137,13 +137,14 @@
 
         :param spare_slots: slots to leave free for higher tiers.
         :param now: monotonic seconds.
-        :param lenient: whether suspicion counts for nothing, because most
-            runners of the pool are suspect.
+        :param lenient: whether errors and slowness count for nothing,
+            because most runners of the pool are suspect.
         """
         health = self.health
         if self.leaving or health.is_full(now):
             return False
-        if self.suspect and not lenient and not health.may_probe(now):
+        suspect = self.suspect and (health.failing or not lenient)
+        if suspect and not health.may_probe(now):
             return False
         if len(self.works) + spare_slots >= self.slots:
             return False
@@ -173,7 +174,8 @@
             return predicted_s + harm_s + _PACKING_S * rank
         held_up = sum(work.tier < tier for work in self.works.values())
         harm_s = self._predict_prefill_s(ask) * held_up
-        harm_s += _BROKEN_GAP_S * self._count_broken(ask)
+        if not self._policy.guard_gaps:
+            harm_s += _BROKEN_GAP_S * self._count_broken(ask)
         return predicted_s + harm_s + _PACKING_S * (1 - rank)
 
     def count_cached_tokens(self, ask: Ask) -> int:
@@ -198,7 +200,9 @@
         work.predicted_s = (
             self.predict_first_token_s(ask) / self._relative_slowdown
         )
-        work.uncached_tokens = ask.prompt_tokens - self.count_cached_tokens(ask)
+        if self._policy.calibrate:
+            cached = self.count_cached_tokens(ask)
+            work.uncached_tokens = ask.prompt_tokens - cached
         self._spend_gaps(work, now)
         self.works[work.request_id] = work
         if self.suspect:
@@ -217,7 +221,8 @@
         if work.first_token_seen:
             return
         work.first_token_seen = True
-        self._calibration.note_excess(first_token_s - work.predicted_s)
+        if self._policy.calibrate:
+            self._calibration.note_excess(first_token_s - work.predicted_s)
         expected_s = work.predicted_s + self._calibration.base_s
         self.health.note_ratio(first_token_s / expected_s)
 
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -262,6 +262,8 @@
                 self.release(ended, 0)
 
     def _calibrate(self) -> None:
+        if not self._policy.calibrate:
+            return
         slowdowns = [runner.health.slowdown for runner in self.runners.values()]
         self._calibration.set_slowdowns(slowdowns)
 
@@ -363,7 +365,7 @@
             for runner in self.runners.values()
             if not runner.leaving
         ]
-        return sum(staying) * 2 > len(staying)
+        return self._policy.calibrate and sum(staying) * 2 > len(staying)
 
     def _rank_runners(self) -> dict[str, float]:
         last = max(1, len(self.runners) - 1)
