Cancel only exchanges that have not finished

Cause: a finished exchange gave its libcurl handle back before the task that waited for it went on; when that task cancelled the handle, it ended the next exchange on it, whose caller then waited until its time limit. Change: an exchange cancels its handle only while it runs. Test: test_finished_exchange_leaves_the_next_one_on_its_handle_alone fails without the change.

--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -148,6 +148,11 @@
             and bool(self._runners)
         )
 
+    @property
+    def runners(self) -> tuple[Member, ...]:
+        """Runners of all pools, as the store names them."""
+        return self._runners
+
     async def start(self) -> None:
         """Listen and begin the periodic work."""
         await self._fleet.listen()
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -225,7 +225,9 @@
             self._transfer.abort()
             raise
         finally:
-            driver.cancel(handle)
+            if self._failure is None:
+                # A finished handle may run another exchange by now.
+                driver.cancel(handle)
         return self._judge()
 
     def _judge(self) -> Reply:
--- /dev/null
+++ b/src/anvilhall_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, which speak its protocol."""
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -55,6 +55,31 @@
     asyncio.run(scenario())
 
 
+def test_finished_exchange_leaves_the_next_one_on_its_handle_alone():
+    async def scenario():
+        async def answer(reader, writer):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+
+        port = find_port()
+        server = await asyncio.start_server(answer, '127.0.0.1', port)
+        outbound = CurlOutbound()
+        call = Call(url=f'http://127.0.0.1:{port}/')
+
+        async def repeat():
+            for _ in range(20):
+                assert (await outbound.fetch(call)).body == b'ok'
+
+        # Exchanges that end in one turn of the loop hand their handles on
+        # before the tasks that waited for them go on.
+        async with asyncio.timeout(10):
+            await asyncio.gather(*(repeat() for _ in range(10)))
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_aborted_call_ends_at_once_even_without_data():
     async def scenario():
         async def hang(reader, writer):
