Choose runners by length of prompt, first token and gaps

Ruled out: late grants; slow links (events pass in a few ms). Change: placements in a registry; by-length fills runners from opposite ends, weighs gaps by backlog, flow and chunk, and first tokens by their objective; short prompts are more urgent at a runner than long ones of the same tier.

--- a/src/anvilhall/core/limits.py
+++ b/src/anvilhall/core/limits.py
@@ -1,5 +1,7 @@
 """Rate and concurrency limits of client accounts and classes."""
 
+import math
+
 from anvilhall.core.settings import Limits
 
 #: Seconds of unused rate that a limit lets accumulate.
@@ -44,6 +46,31 @@
         self._filled_at = now
 
 
+class Flow:
+    """Amount taken in lately, which fades.
+
+    :param time_s: time in which an amount fades to a third.
+    """
+
+    __slots__ = ('_level', '_noted_at', '_time_s')
+
+    def __init__(self, time_s: float) -> None:
+        """Start without any."""
+        self._time_s = time_s
+        self._level = 0.0
+        self._noted_at = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Take in an amount; ``now`` in monotonic seconds."""
+        self._level = self.measure(now) + amount
+        self._noted_at = now
+
+    def measure(self, now: float) -> float:
+        """Return the present amount."""
+        age_s = max(0.0, now - self._noted_at)
+        return self._level * math.exp(-age_s / self._time_s)
+
+
 class Meter:
     """Usage of one account or class against its limits."""
 
--- /dev/null
+++ b/src/anvilhall/core/placements.py
@@ -0,0 +1,98 @@
+"""What it costs to place a request on a runner: the lowest cost wins.
+
+Costs are seconds of first-token time. Two kinds of requests that disturb each
+other fill the runners from opposite ends, so that they meet only under load.
+"""
+
+from typing import Protocol
+
+from anvilhall.core.messages import Ask
+from anvilhall.core.runners import Runner, Work
+from anvilhall.registry import Registry
+
+#: First-token time that is given up to keep kinds of requests apart, in
+#: seconds, from one end of the runners to the other.
+_PACKING_S = 0.1
+#: Cost of a stream with a gap beyond its target, in seconds of first-token
+#: time.
+_LATE_STREAM_S = 0.03
+#: Cost of a first token after its objective, in the same unit.
+_LATE_START_S = 0.5
+#: Share of the objective up to which a predicted first token is in time.
+_SAFE_OBJECTIVE_SHARE = 0.5
+
+
+class Placement(Protocol):
+    """Weighs a runner for a request."""
+
+    def __call__(
+        self,
+        runner: Runner,
+        ask: Ask,
+        work: Work,
+        rank: float,
+        now: float,
+    ) -> float:
+        """Return the cost in seconds.
+
+        :param rank: place of the runner among all, from 0 to 1.
+        """
+
+
+PLACEMENTS: Registry[Placement] = Registry('placement')
+
+
+@PLACEMENTS.register('by-first-token')
+def weigh_first_token(
+    runner: Runner,
+    ask: Ask,
+    work: Work,
+    rank: float,
+    now: float,
+) -> float:
+    """Return the predicted time to the first token alone."""
+    return runner.predict_first_token_s(ask)
+
+
+@PLACEMENTS.register('by-tier')
+def weigh_by_tier(
+    runner: Runner,
+    ask: Ask,
+    work: Work,
+    rank: float,
+    now: float,
+) -> float:
+    """Keep the prefill of lower tiers away from the highest one.
+
+    The cost is the predicted time to the first token, and the time by which
+    the prefill holds up the streams of higher tiers.
+    """
+    predicted_s = runner.predict_first_token_s(ask)
+    if work.tier == 0:
+        harm_s = runner.predict_collision_s(ask)
+        return predicted_s + harm_s + _PACKING_S * rank
+    held_up = sum(other.tier < work.tier for other in runner.works.values())
+    harm_s = runner.predict_prefill_s(ask) * held_up
+    return predicted_s + harm_s + _PACKING_S * (1 - rank)
+
+
+@PLACEMENTS.register('by-length')
+def weigh_by_length(
+    runner: Runner,
+    ask: Ask,
+    work: Work,
+    rank: float,
+    now: float,
+) -> float:
+    """Keep long prompts away from short ones, whatever their tiers.
+
+    The cost is the predicted time to the first token, with a price for a late
+    one, and a price for each stream that the request is expected to make late
+    by the gaps between its events, its own included.
+    """
+    predicted_s = runner.predict_first_token_s(ask)
+    harm_s = _LATE_STREAM_S * runner.weigh_gaps(ask, work, now)
+    lateness = predicted_s / work.objective_s - _SAFE_OBJECTIVE_SHARE
+    risk = min(1.0, max(0.0, lateness / (1 - _SAFE_OBJECTIVE_SHARE)))
+    end = 1 - rank if work.long else rank
+    return predicted_s + harm_s + _LATE_START_S * risk + _PACKING_S * end
--- a/src/anvilhall/core/policies.py
+++ b/src/anvilhall/core/policies.py
@@ -25,6 +25,8 @@
     fair_accounts: bool = True
     #: Long requests may hold only part of a runner.
     protect_short: bool = True
+    #: Name of the way in which a runner is chosen.
+    placement: str = 'by-tier'
     #: Prefill that would bring the streams of higher tiers beyond their gap
     #: waits; without, it only counts in the choice of a runner.
     guard_gaps: bool = True
@@ -44,12 +46,16 @@
 POLICIES: Registry[Policy] = Registry('policy')
 
 POLICIES.register(DEFAULT_POLICY)(Policy())
-POLICIES.register('relay')(Policy(guard_gaps=False, calibrate=True))
+POLICIES.register('relay')(
+    Policy(placement='by-length', guard_gaps=False, calibrate=True),
+)
 POLICIES.register('no-tiers')(Policy(tiers=False))
 POLICIES.register('no-floor')(Policy(floor=False))
 POLICIES.register('no-demote-late')(Policy(demote_late=False))
 POLICIES.register('no-fair-accounts')(Policy(fair_accounts=False))
-POLICIES.register('no-protect-short')(Policy(protect_short=False))
+POLICIES.register('no-protect-short')(
+    Policy(placement='by-first-token', protect_short=False)
+)
 POLICIES.register('no-avoid-suspects')(Policy(avoid_suspects=False))
 POLICIES.register('no-prefixes')(Policy(use_prefixes=False))
 POLICIES.register('no-reserve')(Policy(reserve=False))
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -4,7 +4,7 @@
 import math
 
 from anvilhall.core.health import Calibration, Health
-from anvilhall.core.limits import TokenBucket
+from anvilhall.core.limits import Flow, TokenBucket
 from anvilhall.core.messages import Ask
 from anvilhall.core.policies import Policy
 from anvilhall.core.settings import Pool
@@ -14,15 +14,17 @@
 #: Shortest first-token time that predictions assume, in seconds.
 _MIN_PREDICTION_S = 0.01
 _MS_PER_S = 1000.0
-#: First-token time that is given up to keep tiers apart, in seconds.
-_PACKING_S = 0.1
 #: Cost of a gap beyond its target, for each stream that has it, in seconds.
 _COLLISION_S = 0.01
-#: Share of a gap's target up to which a predicted gap counts as within it.
-_GAP_MARGIN = 0.9
-#: Cost of a stream whose gaps a prefill brings beyond their target, in
-#: seconds of first-token time.
-_BROKEN_GAP_S = 0.25
+#: Share of a gap's target below which a predicted gap makes no stream late:
+#: neighbours unseen by this system slow an engine some 2.5 times at times.
+_SAFE_GAP_SHARE = 0.35
+#: Share of a gap's target above which it makes every stream late.
+_LATE_GAP_SHARE = 0.9
+#: Largest share of an engine's time that predictions let prefill take.
+_DUTY_LIMIT = 0.9
+#: Time over which the flow of prompt tokens is averaged, in seconds.
+_FLOW_S = 1.0
 #: Gaps beyond their target that a runner's higher tiers are made to bear.
 _LONG_GAPS_PER_S = 0.1
 
@@ -38,6 +40,7 @@
         'gap_target_s',
         'granted_at',
         'long',
+        'objective_s',
         'predicted_s',
         'prefill_tokens',
         'request_id',
@@ -64,10 +67,20 @@
         self.granted_at = 0.0
         self.predicted_s = 0.0
         self.first_token_seen = False
+        #: Time to the first token or to the whole answer that the class aims
+        #: at, in seconds.
+        self.objective_s = math.inf
         #: Longest gap between tokens that the class allows, in seconds.
         self.gap_target_s = math.inf
 
 
+def _weigh_gap(gap_s: float, target_s: float) -> float:
+    """Return the expected share of streams that a gap makes late."""
+    span = _LATE_GAP_SHARE - _SAFE_GAP_SHARE
+    beyond = gap_s / target_s - _SAFE_GAP_SHARE
+    return min(1.0, max(0.0, beyond / span))
+
+
 class Runner:
     """Slot account, prefix beliefs and health of one runner."""
 
@@ -77,6 +90,7 @@
         '_long_gaps',
         '_policy',
         '_pool',
+        '_prefill_flow',
         '_prefixes',
         'address',
         'health',
@@ -109,6 +123,7 @@
             collections.OrderedDict()
         )
         self._cached_tokens = 0
+        self._prefill_flow = Flow(_FLOW_S)
         self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
 
     @property
@@ -156,28 +171,6 @@
             return False
         return not self._policy.guard_gaps or self._has_gaps_to_spare(work, now)
 
-    def weigh_placement_s(self, ask: Ask, tier: int, rank: float) -> float:
-        """Return the cost of placing a request here, in seconds.
-
-        It is the predicted time to the first token, and the time by which the
-        request's prefill holds up the streams of higher tiers. The highest
-        tier fills the runners from the first on and the others from the last,
-        so that the prefill of the others stays away from it.
-
-        :param rank: place of the runner among all, from 0 to 1.
-        """
-        predicted_s = self.predict_first_token_s(ask)
-        if not self._policy.protect_short:
-            return predicted_s
-        if tier == 0:
-            harm_s = self._predict_collision_s(ask)
-            return predicted_s + harm_s + _PACKING_S * rank
-        held_up = sum(work.tier < tier for work in self.works.values())
-        harm_s = self._predict_prefill_s(ask) * held_up
-        if not self._policy.guard_gaps:
-            harm_s += _BROKEN_GAP_S * self._count_broken(ask)
-        return predicted_s + harm_s + _PACKING_S * (1 - rank)
-
     def count_cached_tokens(self, ask: Ask) -> int:
         """Return how much of the prompt is taken to be cached."""
         cached = 0
@@ -189,7 +182,7 @@
 
     def predict_first_token_s(self, ask: Ask) -> float:
         """Predict the time to the first token of a further request."""
-        prefill_s = self._predict_backlog_s() + self._predict_prefill_s(ask)
+        prefill_s = self._predict_backlog_s() + self.predict_prefill_s(ask)
         nominal_s = max(prefill_s + self._predict_step_s(), _MIN_PREDICTION_S)
         return nominal_s * self._relative_slowdown
 
@@ -203,6 +196,7 @@
         if self._policy.calibrate:
             cached = self.count_cached_tokens(ask)
             work.uncached_tokens = ask.prompt_tokens - cached
+        self._prefill_flow.add(work.uncached_tokens, now)
         self._spend_gaps(work, now)
         self.works[work.request_id] = work
         if self.suspect:
@@ -239,13 +233,16 @@
             1.0, self.health.slowdown / self._calibration.typical_slowdown
         )
 
-    def _predict_step_s(self) -> float:
+    def _predict_step_s(self, streams: int | None = None) -> float:
+        if streams is None:
+            streams = len(self.works)
         step_ms = self._pool.step_base_ms + (
-            self._pool.step_per_stream_ms * len(self.works)
+            self._pool.step_per_stream_ms * streams
         )
         return step_ms / _MS_PER_S
 
-    def _predict_prefill_s(self, ask: Ask) -> float:
+    def predict_prefill_s(self, ask: Ask) -> float:
+        """Return the time that reading the prompt takes, in seconds."""
         uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
         return uncached / self._pool.prefill_tokens_per_s
 
@@ -260,31 +257,50 @@
     def _predict_backlog_s(self) -> float:
         return self._count_backlog_tokens() / self._pool.prefill_tokens_per_s
 
-    def _predict_gap_s(self, backlog_tokens: int) -> float:
-        """Return the longest gap between events while a backlog is read.
+    def _predict_gap_s(
+        self,
+        backlog_tokens: int,
+        streams: int,
+        flow_tokens: float,
+    ) -> float:
+        """Return the gap between events to expect.
 
-        An event holds several tokens, and a chunk of the backlog is read
-        between each token and the next.
+        An event holds several tokens. A chunk of the backlog is read between
+        each token and the next, and what comes in steadily adds its share.
+
+        :param flow_tokens: prompt tokens granted within the last second.
         """
         pool = self._pool
         chunk = min(backlog_tokens, pool.prefill_chunk_tokens)
         chunks = math.ceil(backlog_tokens / pool.prefill_chunk_tokens)
         prefill_s = chunk / pool.prefill_tokens_per_s
         slow_steps = min(chunks, pool.event_tokens)
-        decode_s = pool.event_tokens * self._predict_step_s()
-        gap_s = decode_s + slow_steps * prefill_s
+        duty = min(flow_tokens / pool.prefill_tokens_per_s, _DUTY_LIMIT)
+        step_s = self._predict_step_s(streams) / (1 - duty)
+        gap_s = pool.event_tokens * step_s + slow_steps * prefill_s
         return gap_s * self._relative_slowdown
 
-    def _count_broken(self, ask: Ask) -> int:
-        """Return how many streams a prefill would bring beyond their gap."""
+    def weigh_gaps(self, ask: Ask, work: Work, now: float) -> float:
+        """Return how many streams a request is expected to make late.
+
+        The request's own stream counts too, as what runs beside it widens its
+        gaps.
+        """
         backlog = self._count_backlog_tokens()
         uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
-        gap_s = self._predict_gap_s(backlog + uncached)
-        before_s = self._predict_gap_s(backlog)
-        return sum(
-            before_s <= work.gap_target_s * _GAP_MARGIN < gap_s
-            for work in self.works.values()
+        flow = self._prefill_flow.measure(now)
+        before_s = self._predict_gap_s(backlog, len(self.works), flow)
+        after_s = self._predict_gap_s(
+            backlog + uncached,
+            len(self.works) + 1,
+            flow + uncached,
+        )
+        added = sum(
+            _weigh_gap(after_s, other.gap_target_s)
+            - _weigh_gap(before_s, other.gap_target_s)
+            for other in self.works.values()
         )
+        return added + _weigh_gap(after_s, work.gap_target_s)
 
     def _has_memory(self, work: Work) -> bool:
         limit = self._pool.memory_tokens
@@ -293,10 +309,10 @@
         held = sum(other.context_tokens for other in self.works.values())
         return not held or held + work.context_tokens <= limit
 
-    def _predict_collision_s(self, ask: Ask) -> float:
+    def predict_collision_s(self, ask: Ask) -> float:
         """Return the harm of prefill that meets other prefill, in seconds."""
         targets = [work.gap_target_s for work in self.works.values()]
-        turn_s = self._predict_backlog_s() + self._predict_prefill_s(ask)
+        turn_s = self._predict_backlog_s() + self.predict_prefill_s(ask)
         if turn_s + self._predict_step_s() <= min(targets, default=math.inf):
             return 0.0
         return _COLLISION_S * len(targets)
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -21,6 +21,7 @@
     Refusal,
     Release,
 )
+from anvilhall.core.placements import PLACEMENTS
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES, Policy
 from anvilhall.core.queues import ClassQueue, PoolQueue, Waiting
 from anvilhall.core.runners import Runner, Work
@@ -66,6 +67,7 @@
         '_admission',
         '_calibration',
         '_granted_tokens',
+        '_placement',
         '_policy',
         '_pool',
         '_pool_name',
@@ -86,6 +88,7 @@
     ) -> None:
         """Start with no runners."""
         self._policy = policy or POLICIES.get(DEFAULT_POLICY)
+        self._placement = PLACEMENTS.get(self._policy.placement)
         self._pool_name = pool_name
         self.runners: dict[str, Runner] = {}
         self._queue = PoolQueue(self._policy)
@@ -351,10 +354,12 @@
         ranks = self._rank_runners()
         return min(
             candidates,
-            key=lambda runner: runner.weigh_placement_s(
+            key=lambda runner: self._placement(
+                runner,
                 waiting.ask,
-                work.tier,
+                work,
                 ranks[runner.name],
+                now,
             ),
         )
 
@@ -471,7 +476,11 @@
     work.uncached_tokens = ask.prompt_tokens
     work.context_tokens = ask.prompt_tokens + ask.max_tokens
     work.long = ask.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
-    gap_ms = waiting.class_settings.target.gap_ms
+    target = waiting.class_settings.target
+    objective_ms = target.first_token_ms or target.done_ms
+    if objective_ms:
+        work.objective_s = objective_ms / _MS_PER_S
+    gap_ms = target.gap_ms
     if gap_ms:
         work.gap_target_s = gap_ms / _MS_PER_S
     return work
--- a/src/anvilhall/dialect.py
+++ b/src/anvilhall/dialect.py
@@ -28,7 +28,8 @@
     #: The only runner that may take the request.
     runner: str
     account: str
-    tier: int
+    #: Order among the requests at one runner; 0 is first.
+    urgency: int
     #: Seconds until the answer is of no use.
     deadline_s: float
     #: Last event that the caller has; empty at the start of a stream.
--- a/src/anvilhall/platform/headers.py
+++ b/src/anvilhall/platform/headers.py
@@ -96,7 +96,7 @@
                 passed.add(name, text)
         passed[_DEADLINE] = str(max(1, int(call.deadline_s * _MS_PER_S)))
         passed[_EXPECT_INSTANCE] = call.runner
-        passed[_URGENCY] = str(min(call.tier, _LAST_URGENCY))
+        passed[_URGENCY] = str(min(call.urgency, _LAST_URGENCY))
         if call.account:
             passed[_TENANT] = call.account
         if call.last_event_id:
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -314,6 +314,8 @@
             sends=relay.sends,
             waits_s=relay.waits_s,
             first_event_s=round(relay.first_event_s, 3),
+            longest_gap_s=round(relay.longest_gap_s, 3),
+            prompt_tokens=job.head.prompt_tokens,
             elapsed_s=round(now - job.arrived_at, 3),
         )
 
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -7,6 +7,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from anvilhall import defaults
 from anvilhall.clock import Clock
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, Progress, Release
@@ -43,6 +44,9 @@
 _STALL_S = 1.2
 #: Time below which a request is not sent any more, in seconds.
 _SEND_MARGIN_S = 0.005
+#: Tiers that are told apart by the length of prompts as well: runners know
+#: ten degrees of urgency, and there are eight tiers.
+_SPLIT_TIERS = 2
 #: Seconds for which an idle connection to a runner is used again.
 _IDLE_LIMIT_S = 2
 
@@ -103,6 +107,18 @@
         )
 
 
+def choose_urgency(tier: int, prompt_tokens: int) -> int:
+    """Return the order of a request among those at one runner.
+
+    Tiers are strict; within a tier short prompts go before long ones, which
+    they hold up by little.
+    """
+    long = prompt_tokens >= defaults.LONG_PROMPT_TOKENS
+    if tier < _SPLIT_TIERS:
+        return 2 * tier + long
+    return _SPLIT_TIERS + tier
+
+
 class RelaySink(Protocol):
     """Where the answer of a relayed request goes."""
 
@@ -158,6 +174,7 @@
         '_sink',
         'begun',
         'first_event_s',
+        'longest_gap_s',
         'runners',
         'sends',
         'waits_s',
@@ -181,6 +198,7 @@
         self.begun = False
         #: Seconds from arrival to the first part; 0 while there is none.
         self.first_event_s = 0.0
+        self.longest_gap_s = 0.0
         #: Runners in the order of the attempts.
         self.runners: list[str] = []
         #: Seconds from each ask to its grant.
@@ -262,6 +280,10 @@
         if chunk:
             self._sink.write(chunk)
 
+    def note_gap(self, gap_s: float) -> None:
+        """Remember the longest gap between two parts of the answer."""
+        self.longest_gap_s = max(self.longest_gap_s, gap_s)
+
     def drop_partial(self) -> None:
         """Forget the beginning of an event that will not be completed."""
         self._borders.drop_partial()
@@ -393,7 +415,7 @@
         head = CallHead(
             runner=self.grant.runner,
             account=job.account,
-            tier=job.tier,
+            urgency=choose_urgency(job.tier, job.head.prompt_tokens),
             deadline_s=left_s,
             last_event_id=last_event_id,
         )
@@ -469,6 +491,8 @@
         if self._problem:
             return
         now = self._services.clock.monotonic()
+        if self.first_token_s:
+            self._relay.note_gap(now - self._heard_at)
         self._heard_at = now
         if not self.first_token_s:
             self.first_token_s = max(now - self._granted_at, _SEND_MARGIN_S)
