Pass news of runners on between instances; keep the order within a tier

Change: whoever reads a change of a runner tells its links, by the registry's offsets; an instance returns a grant for a runner that it knows to be leaving; a class's own priority orders requests whose account sets the tier, in the queue and at the runner; after a refusal lower ones give way for 0.3 s.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -325,11 +325,23 @@
         if pending is None:
             self._return_grant(sender, grant)
             return
+        if self._directory.is_leaving(grant.runner):
+            # The owner has older news of the runner; it is asked again.
+            self._return_grant(sender, grant)
+            self._avoid(pending, grant.runner)
+            self._pending[grant.request_id] = pending
+            return
         if pending.target != sender:
             self._tell_withdrawn(pending)
         self._running[grant.request_id] = _Running(pending, grant, sender)
         pending.ticket.take_grant(grant)
 
+    def _avoid(self, pending: _Pending, runner: str) -> None:
+        avoid = (*pending.ask.avoid, runner)
+        pending.ask = msgspec.structs.replace(pending.ask, avoid=avoid)
+        pending.target = None
+        pending.queued = False
+
     def _take_refusal(self, sender: str, refusal: Refusal) -> None:
         pending = self._pending.get(refusal.request_id)
         if pending is None or pending.target != sender:
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -73,6 +73,11 @@
             and member.failure_domain not in unreached
         ]
 
+    def is_leaving(self, runner: str) -> bool:
+        """Return whether a runner is known to take no new work."""
+        member = self._members.get(runner)
+        return member is None or member.leaving
+
     def find_owner(self, pool: str) -> str | None:
         """Return the owner of the own region's shard of a pool.
 
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -9,6 +9,7 @@
 import cbor2
 import msgspec
 
+from anvilhall.core.members import Member
 from anvilhall.exceptions import PeerProtocolBroken
 
 
@@ -160,6 +161,16 @@
     status: str
 
 
+class RunnerNews(_Message, frozen=True):
+    """What the registry says of a runner; passed on between instances."""
+
+    #: Offset of the registry's record; rises with each one.
+    version: int
+    runner: Member
+    #: Whether the runner has no entry any more.
+    gone: bool = False
+
+
 class SettingsAsk(_Message, frozen=True):
     """Asks a peer for its settings, if newer than an offset."""
 
@@ -212,6 +223,7 @@
     | Hello
     | Heartbeat
     | News
+    | RunnerNews
     | SettingsAsk
     | SettingsRecords
     | SettingsOffer
--- a/src/anvilhall/core/policies.py
+++ b/src/anvilhall/core/policies.py
@@ -19,6 +19,9 @@
     tiers: bool = True
     #: A class that has waited for its floor interval goes first.
     floor: bool = True
+    #: After a refusal for load, what becomes free is kept for requests of the
+    #: same order.
+    keep_order: bool = False
     #: Requests that have missed their target wait behind those that have not.
     demote_late: bool = True
     #: Client accounts of a class share in virtual time.
@@ -47,7 +50,12 @@
 
 POLICIES.register(DEFAULT_POLICY)(Policy())
 POLICIES.register('relay')(
-    Policy(placement='by-length', guard_gaps=False, calibrate=True),
+    Policy(
+        placement='by-length',
+        guard_gaps=False,
+        calibrate=True,
+        keep_order=True,
+    ),
 )
 POLICIES.register('no-tiers')(Policy(tiers=False))
 POLICIES.register('no-floor')(Policy(floor=False))
--- a/src/anvilhall/core/queues.py
+++ b/src/anvilhall/core/queues.py
@@ -225,7 +225,8 @@
 
     def __init__(self, policy: Policy) -> None:
         """Start empty."""
-        self._classes: dict[str, ClassQueue] = {}
+        #: By class and tier: accounts may have tiers of their own.
+        self._classes: dict[tuple[str, int], ClassQueue] = {}
         self._policy = policy
         self._virtual_now = 0.0
 
@@ -241,10 +242,11 @@
     def push(self, waiting: Waiting, weight: float, now: float) -> None:
         """Add a request; ``weight`` is its account's."""
         name = waiting.ask.class_name
-        queue = self._classes.get(name)
+        key = (name, waiting.class_settings.tier)
+        queue = self._classes.get(key)
         if queue is None:
             queue = ClassQueue(name, waiting.class_settings)
-            self._classes[name] = queue
+            self._classes[key] = queue
         if not self._policy.fair_accounts:
             waiting.line = ''
         queue.settings = waiting.class_settings
@@ -288,7 +290,7 @@
         busy = [queue for queue in self._classes.values() if queue.length]
         if not busy:
             return None
-        lowest = max(busy, key=_get_tier)
+        lowest = max(busy, key=_get_drop_turn)
         if lowest.settings.tier <= above_tier:
             return None
         return lowest.drop_newest()
@@ -315,13 +317,14 @@
     return queue.waiting_since
 
 
-def _get_turn(queue: ClassQueue) -> tuple[int, float]:
-    return queue.settings.tier, queue.virtual_time
+def _get_turn(queue: ClassQueue) -> tuple[int, int, float]:
+    settings = queue.settings
+    return settings.tier, settings.rank, queue.virtual_time
 
 
 def _get_share(queue: ClassQueue) -> float:
     return queue.virtual_time
 
 
-def _get_tier(queue: ClassQueue) -> int:
-    return queue.settings.tier
+def _get_drop_turn(queue: ClassQueue) -> tuple[int, int]:
+    return queue.settings.tier, queue.settings.rank
--- a/src/anvilhall/core/routes.py
+++ b/src/anvilhall/core/routes.py
@@ -28,6 +28,8 @@
     resumable: bool = False
     #: Runners to which one request may be sent.
     attempts: int = 1
+    #: Priority of the route; 0 is the highest.
+    tier: int = 0
     #: Time from arrival to the end of the answer, in seconds.
     timeout_s: float = 30.0
     #: Time to the first event, or to the whole answer, in seconds.
--- a/src/anvilhall/core/settings.py
+++ b/src/anvilhall/core/settings.py
@@ -52,6 +52,8 @@
     pool: str
     #: Priority; 0 is the highest.
     tier: int = 0
+    #: Order among the classes of a tier; lower goes first.
+    rank: int = 0
     target: Target = Target()
     #: Whether a request may run more than once.
     idempotent: bool = True
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -39,6 +39,9 @@
 _MS_PER_S = 1000.0
 #: Seconds after which a caller that was refused for load may return.
 _RETRY_AFTER_S = 1.0
+#: Seconds for which lower classes give way after a refusal for load: twice
+#: the wait of the shortest objectives.
+_SHED_MEMORY_S = 0.3
 #: Share of all granted tokens that pauses may cause to be read again.
 _REDONE_SHARE = 0.005
 
@@ -74,6 +77,7 @@
         '_queue',
         '_redone_tokens',
         '_senders',
+        '_shed_at',
         '_tree',
         'paused',
         'runners',
@@ -95,6 +99,8 @@
         self._admission = Admission()
         self._senders: dict[str, str] = {}
         self._calibration = Calibration()
+        #: When requests were last refused for load, by tier and rank.
+        self._shed_at: dict[tuple[int, int], float] = {}
         self.paused: set[str] = set()
         #: Tokens granted so far, and those read again because of pauses.
         self._granted_tokens = 0
@@ -293,7 +299,13 @@
         if settings is None:
             raise UnknownClass(f'no class named {ask.class_name!r}')
         if ask.tier is not None:
-            settings = msgspec.structs.replace(settings, tier=ask.tier)
+            # The account's tier goes first; the class's own tells its
+            # requests apart from others of that tier.
+            settings = msgspec.structs.replace(
+                settings,
+                tier=ask.tier,
+                rank=settings.tier,
+            )
         if not any(not runner.leaving for runner in self.runners.values()):
             raise NoRunner(f'no live runner of {self._pool_name}', 1.0)
         self._admission.check(ask, settings, now)
@@ -314,11 +326,15 @@
             if waiting:
                 self._forget(waiting.ask)
                 error = _explain_expiry(waiting, now)
+                order = _get_order(waiting.class_settings)
+                self._shed_at[order] = now
                 actions.append(_refuse(waiting.sender, request_id, error))
         return actions
 
     def _grant_next(self, now: float, wall: dt.datetime) -> Action | None:
         for queue in self._queue.list_turns(now):
+            if self._gives_way(queue, now):
+                continue
             waiting = queue.peek()
             work = _describe_work(waiting)
             runner = self._place(waiting, work, now, wall)
@@ -326,6 +342,21 @@
                 return self._grant(queue, runner, work, now)
         return None
 
+    def _gives_way(self, queue: ClassQueue, now: float) -> bool:
+        """Return whether requests that go first were refused just now.
+
+        What becomes free is kept for the next of them, unless the class has
+        waited for its floor interval.
+        """
+        if not self._policy.keep_order or queue.is_overdue(now):
+            return False
+        order = _get_order(queue.settings)
+        oldest = now - _SHED_MEMORY_S
+        return any(
+            shed_at > oldest and first < order
+            for first, shed_at in self._shed_at.items()
+        )
+
     def _place(
         self,
         waiting: Waiting,
@@ -460,6 +491,10 @@
         self._admission.leave(account, class_name)
 
 
+def _get_order(settings: ClassSettings) -> tuple[int, int]:
+    return settings.tier, settings.rank
+
+
 def _measure_patience_s(queue: ClassQueue) -> float:
     target = queue.settings.target
     target_ms = target.first_token_ms or target.done_ms
--- a/src/anvilhall/core/views.py
+++ b/src/anvilhall/core/views.py
@@ -14,13 +14,22 @@
 
 
 class RunnerView:
-    """Runners by name, from the records of a registry."""
+    """Runners by name, from the records of a registry and peers' news."""
 
-    __slots__ = ('_contact_at', '_members', '_missing', '_returned_at')
+    __slots__ = (
+        '_contact_at',
+        '_members',
+        '_missing',
+        '_returned_at',
+        '_versions',
+    )
 
     def __init__(self) -> None:
         """Start empty."""
         self._members: dict[str, Member] = {}
+        #: Offset of the newest record taken in by name; kept for runners that
+        #: are gone, so that late news does not bring them back.
+        self._versions: dict[str, int] = {}
         #: Runners without an entry that may come back.
         self._missing: set[str] = set()
         self._contact_at: float | None = None
@@ -31,6 +40,10 @@
         """The runners, those included that may come back."""
         return tuple(self._members.values())
 
+    def get_version(self, name: str) -> int:
+        """Return the offset of the newest record of a runner; -1: none."""
+        return self._versions.get(name, -1)
+
     def note_contact(self, now: float) -> None:
         """Note an answer of the registry, before what it says is put in."""
         last = self._contact_at
@@ -42,23 +55,32 @@
         """Return the seconds since the last contact; ``None``: never."""
         return None if self._contact_at is None else now - self._contact_at
 
-    def put(self, member: Member) -> None:
-        """Take in the entry of a runner."""
+    def put(self, member: Member, version: int) -> None:
+        """Take in the entry of a runner, unless a newer one is known."""
+        if version < self.get_version(member.name):
+            return
+        self._versions[member.name] = version
         self._missing.discard(member.name)
         self._members[member.name] = member
 
-    def remove(self, name: str, now: float) -> None:
+    def remove(self, name: str, version: int, now: float) -> None:
         """Take in that a runner has no entry any more."""
+        if version < self.get_version(name):
+            return
+        self._versions[name] = version
         if now - self._returned_at < RETURN_S and name in self._members:
             self._missing.add(name)
         else:
             self._members.pop(name, None)
 
-    def keep_only(self, names: set[str], now: float) -> None:
-        """Take in a complete list of the runners that have an entry."""
+    def keep_only(self, names: set[str], end: int, now: float) -> None:
+        """Take in a complete list of the runners that have an entry.
+
+        :param end: offset up to which the list covers the records.
+        """
         for name in list(self._members):
             if name not in names:
-                self.remove(name, now)
+                self.remove(name, end, now)
 
     def expire(self, now: float) -> None:
         """Drop the runners that did not come back in time."""
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -6,6 +6,7 @@
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
+from anvilhall.core.messages import RunnerNews
 from anvilhall.core.routes import RoutingSettings
 from anvilhall.core.views import RunnerView
 from anvilhall.exceptions import (
@@ -167,7 +168,7 @@
 class RunnersFeed(_Feed):
     """Keeps the view of the runners."""
 
-    __slots__ = ('_on_change', '_region', '_view')
+    __slots__ = ('_on_change', '_region', '_tell_peers', '_view')
 
     def __init__(
         self,
@@ -177,16 +178,32 @@
         metrics: Metrics,
         chance: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
+        tell_peers: Callable[[RunnerNews], None],
     ) -> None:
         """Start without runners.
 
         :param on_change: called with all runners after a change.
+        :param tell_peers: passes a change on to other instances, which the
+            store may be turning away.
         """
+        self._tell_peers = tell_peers
         super().__init__(RUNNERS_TOPIC, store, clock, metrics, chance)
         self._region = region
         self._view = RunnerView()
         self._on_change = on_change
 
+    def take_news(self, news: RunnerNews) -> None:
+        """Take in what another instance has read."""
+        if news.version <= self._view.get_version(news.runner.name):
+            return
+        before = self._view.members
+        if news.gone:
+            now = self._clock.monotonic()
+            self._view.remove(news.runner.name, news.version, now)
+        else:
+            self._view.put(news.runner, news.version)
+        self._tell(before, 'peer')
+
     def measure_age_s(self) -> float | None:
         """Return the seconds since the store was last read."""
         return self._view.measure_age_s(self._clock.monotonic())
@@ -217,34 +234,43 @@
             self._apply_record(record, now)
         if complete:
             names = {record.key for record in page.records}
-            self._view.keep_only(names, now)
+            self._view.keep_only(names, page.next_offset, now)
         self._view.expire(now)
-        self._tell(before)
+        self._tell(before, 'store')
 
     def _expire(self) -> None:
         before = self._view.members
         self._view.expire(self._clock.monotonic())
-        self._tell(before)
+        self._tell(before, 'store')
 
-    def _tell(self, before: tuple[Member, ...]) -> None:
+    def _tell(self, before: tuple[Member, ...], source: str) -> None:
         after = self._view.members
-        if after != before:
-            _note_runner_changes(before, after)
-            self._on_change(after)
+        if after == before:
+            return
+        _note_runner_changes(before, after, source)
+        self._on_change(after)
+        names = {member.name for member in after}
+        for member in set(before) ^ set(after):
+            gone = member.name not in names
+            if gone or member in after:
+                version = self._view.get_version(member.name)
+                self._tell_peers(RunnerNews(version, member, gone))
 
     def _apply_record(self, record: KeyedRecord, now: float) -> None:
         if record.content is None:
-            self._view.remove(record.key, now)
+            self._view.remove(record.key, record.offset, now)
             return
         try:
-            self._view.put(decode_runner(record, self._region))
+            runner = decode_runner(record, self._region)
         except UnusableEntry as error:
             self._metrics.platform_failures.labels(
                 self._topic,
                 error.code,
             ).inc()
             note_change('entry_unusable', reason=error.reason)
-            self._view.remove(record.key, now)
+            self._view.remove(record.key, record.offset, now)
+        else:
+            self._view.put(runner, record.offset)
 
 
 class InstancesFeed(_Feed):
@@ -321,12 +347,14 @@
 def _note_runner_changes(
     before: Iterable[Member],
     after: Iterable[Member],
+    source: str,
 ) -> None:
     """Write a line for the runners that came, left or began to drain."""
     old = {(member.name, member.leaving) for member in before}
     new = {(member.name, member.leaving) for member in after}
     note_change(
         'runners_changed',
+        source=source,
         came=sorted(name for name, leaving in new - old if not leaving),
         leaving=sorted(name for name, leaving in new - old if leaving),
         gone=sorted({name for name, _ in old} - {name for name, _ in new}),
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -10,6 +10,7 @@
 from anvilhall.core.messages import (
     Heartbeat,
     Message,
+    RunnerNews,
     SettingsAsk,
     SettingsOffer,
 )
@@ -94,6 +95,7 @@
             self.metrics,
             chance,
             self._apply_runners,
+            self._fleet.tell_linked,
         )
         self._instances = InstancesFeed(
             Member(
@@ -128,6 +130,7 @@
         self._fleet.handle(Heartbeat, self._take_heartbeat)
         self._fleet.handle(SettingsAsk, self._take_ask)
         self._fleet.handle(SettingsOffer, self._take_offer)
+        self._fleet.handle(RunnerNews, self._take_runner_news)
 
     @classmethod
     def from_config(
@@ -271,6 +274,10 @@
         assert isinstance(message, SettingsOffer)  # noqa: S101
         self._manifest.take(message.snapshot, sender)
 
+    def _take_runner_news(self, sender: str, message: Message) -> None:
+        assert isinstance(message, RunnerNews)  # noqa: S101
+        self._runners_feed.take_news(message)
+
     def _try_send(self, instance: str, message: Message) -> None:
         try:
             self._fleet.send(instance, message)
--- a/src/anvilhall/platform/manifest.py
+++ b/src/anvilhall/platform/manifest.py
@@ -149,6 +149,7 @@
         idempotent=route.kind == _IDEMPOTENT,
         resumable=route.resumable,
         attempts=max(1, route.attempts),
+        tier=route.priority,
         timeout_s=route.timeout_ms / _MS_PER_S,
         objective_s=route.slo_ms / _MS_PER_S,
         public=route.public,
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -47,6 +47,8 @@
     key: str
     #: ``None``: the key was removed.
     content: bytes | None
+    #: Place in the topic; rises with each record.
+    offset: int = -1
 
 
 class KeyedPage(msgspec.Struct, frozen=True):
@@ -60,6 +62,7 @@
     key: str
     #: In base64.
     value: str = ''
+    offset: int = -1
 
 
 class _Newest(msgspec.Struct):
@@ -187,7 +190,8 @@
 
 def _decode_item(entry: _Item) -> KeyedRecord:
     try:
-        return KeyedRecord(entry.key, base64.b64decode(entry.value))
+        content = base64.b64decode(entry.value)
+        return KeyedRecord(entry.key, content, entry.offset)
     except ValueError as error:
         raise LogUnavailable(f'unreadable record: {error}') from error
 
@@ -205,13 +209,14 @@
         place = start + size
         if place > len(body):
             raise LogUnavailable('an answer ends within a record')
-        records.append(_decode_frame(body[start:place]))
+        frame = body[start:place]
+        records.append(_decode_frame(frame, offset + len(records)))
     return KeyedPage(tuple(records), offset + len(records))
 
 
-def _decode_frame(frame: bytes) -> KeyedRecord:
+def _decode_frame(frame: bytes, offset: int) -> KeyedRecord:
     if not frame or len(frame) <= frame[0]:
         raise LogUnavailable('a record without a key')
     key_end = 1 + frame[0]
     key = frame[1:key_end].decode('utf-8', 'replace')
-    return KeyedRecord(key, frame[key_end:] or None)
+    return KeyedRecord(key, frame[key_end:] or None, offset)
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -7,7 +7,6 @@
 
 from tornado.httputil import HTTPHeaders
 
-from anvilhall import defaults
 from anvilhall.clock import Clock
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, Progress, Release
@@ -44,9 +43,10 @@
 _STALL_S = 1.2
 #: Time below which a request is not sent any more, in seconds.
 _SEND_MARGIN_S = 0.005
-#: Tiers that are told apart by the length of prompts as well: runners know
-#: ten degrees of urgency, and there are eight tiers.
+#: Tiers whose routes are told apart at a runner, and the ranks in each:
+#: runners know ten degrees of urgency, and there are eight tiers.
 _SPLIT_TIERS = 2
+_RANKS = 2
 #: Seconds for which an idle connection to a runner is used again.
 _IDLE_LIMIT_S = 2
 
@@ -107,16 +107,15 @@
         )
 
 
-def choose_urgency(tier: int, prompt_tokens: int) -> int:
-    """Return the order of a request among those at one runner.
+def choose_urgency(tier: int, rank: int) -> int:
+    """Return the order of a request among those at one runner, from 0.
 
-    Tiers are strict; within a tier short prompts go before long ones, which
-    they hold up by little.
+    :param tier: of the request, which is strict.
+    :param rank: of its route among requests of that tier.
     """
-    long = prompt_tokens >= defaults.LONG_PROMPT_TOKENS
-    if tier < _SPLIT_TIERS:
-        return 2 * tier + long
-    return _SPLIT_TIERS + tier
+    if tier >= _SPLIT_TIERS:
+        return _SPLIT_TIERS * _RANKS + tier - _SPLIT_TIERS
+    return tier * _RANKS + min(rank, _RANKS - 1)
 
 
 class RelaySink(Protocol):
@@ -415,7 +414,7 @@
         head = CallHead(
             runner=self.grant.runner,
             account=job.account,
-            urgency=choose_urgency(job.tier, job.head.prompt_tokens),
+            urgency=choose_urgency(job.tier, job.route.tier),
             deadline_s=left_s,
             last_event_id=last_event_id,
         )
