Let the most urgent streams of a pool wait longer for a slot

Cause: with two of six runners left, 13 of 154 questions got nothing while a few dossiers began (TIER, mix): all slots were held by streams, and questions were refused after 0.15 s though the next free slot was theirs. Ruled out: dossiers of the same tier going first (order and give-way held). What is known of engines moves from the adapter to core.profiles.

--- a/src/anvilhall/platform/manifest.py
+++ b/src/anvilhall/platform/manifest.py
@@ -2,6 +2,11 @@
 
 import msgspec
 
+from anvilhall.core.profiles import (
+    build_class_fields,
+    build_engine_pool,
+    build_service_pool,
+)
 from anvilhall.core.routes import (
     RequestLimits,
     Route,
@@ -19,28 +24,6 @@
 from anvilhall.core.tree import Tree, hash_key
 from anvilhall.exceptions import SettingsError
 
-#: Seconds without a grant after which a class with waiting requests goes
-#: first: a trickle that takes nothing noticeable from higher ones.
-_FLOOR_INTERVAL_S = 4.0
-#: Share of the objective that a request may wait for a runner: the rest is
-#: needed to read its prompt.
-_WAIT_SHARE = 0.5
-#: Share of an engine's memory that its prefix cache is taken to use; the rest
-#: holds running requests.
-_CACHE_SHARE = 0.6
-#: Prompt tokens a second of an engine until observations correct it.
-_PREFILL_TOKENS_PER_S = 60_000.0
-#: Prompt tokens that an engine takes between two decode steps; a common
-#: setting of engines with chunked prefill.
-_PREFILL_CHUNK_TOKENS = 2048
-#: Time of a decode step, and what each stream adds, in milliseconds.
-_STEP_BASE_MS = 4.5
-_STEP_PER_STREAM_MS = 0.05
-#: Time to connect to a runner, in seconds: it takes two round trips of a few
-#: milliseconds, so that a silent one is told apart early.
-_CONNECT_TIMEOUT_S = 0.25
-#: Slots of a service until its runners state theirs.
-_SERVICE_SLOTS = 6
 _MS_PER_S = 1000.0
 
 _STREAMING = 'streaming'
@@ -158,7 +141,7 @@
 
 def _build_tree(manifest: _Manifest) -> Tree:
     node = TeamNode(
-        classes={route.name: _build_class(route) for route in manifest.routes},
+        classes=_build_classes(manifest.routes),
         accounts={
             tenant.name: Account(
                 key_sha256=tuple(hash_key(key) for key in tenant.api_keys),
@@ -173,47 +156,42 @@
     return Tree({ROOT: node})
 
 
-def _build_class(route: _Route) -> JsonObject:
-    streaming = route.kind == _STREAMING
-    pool = route.service
-    if route.traffic_split:
-        pool = route.traffic_split[0].service
-    target: JsonObject = {'done_ms': int(route.slo_ms)}
-    if streaming:
-        target = {'first_token_ms': int(route.slo_ms)}
-        if route.gap_aim_ms:
-            target['gap_ms'] = int(route.gap_aim_ms)
+def _build_classes(routes: list[_Route]) -> dict[str, JsonObject]:
+    highest: dict[str, int] = {}
+    for route in routes:
+        pool = _name_pool(route)
+        tier = min(route.priority, highest.get(pool, route.priority))
+        highest[pool] = tier
     return {
-        'pool': pool,
-        'tier': route.priority,
-        'target': target,
-        'idempotent': route.kind == _IDEMPOTENT,
-        'resumable': route.resumable,
-        'floor_interval_s': _FLOOR_INTERVAL_S,
-        'deadline_s': route.timeout_ms / _MS_PER_S,
-        'wait_limit_s': route.slo_ms / _MS_PER_S * _WAIT_SHARE,
+        route.name: _build_class(route, highest[_name_pool(route)])
+        for route in routes
     }
 
 
+def _build_class(route: _Route, highest: int) -> JsonObject:
+    pool = _name_pool(route)
+    fields = build_class_fields(
+        pool,
+        tier=route.priority,
+        streaming=route.kind == _STREAMING,
+        objective_ms=route.slo_ms,
+        gap_ms=route.gap_aim_ms,
+        first=route.priority == highest,
+    )
+    fields['idempotent'] = route.kind == _IDEMPOTENT
+    fields['resumable'] = route.resumable
+    fields['deadline_s'] = route.timeout_ms / _MS_PER_S
+    return fields
+
+
+def _name_pool(route: _Route) -> str:
+    if route.traffic_split:
+        return route.traffic_split[0].service
+    return route.service
+
+
 def _build_pool(service: _Service) -> Pool:
     engine = service.engine
     if engine is None:
-        return Pool(
-            wire='relay',
-            slots=_SERVICE_SLOTS,
-            connect_timeout_s=_CONNECT_TIMEOUT_S,
-        )
-    return Pool(
-        wire='relay',
-        slots=engine.slots,
-        long_slots=engine.slots,
-        long_prefill_tokens=engine.kv_tokens,
-        cache_tokens=int(engine.kv_tokens * _CACHE_SHARE),
-        prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
-        step_base_ms=_STEP_BASE_MS,
-        step_per_stream_ms=_STEP_PER_STREAM_MS,
-        prefill_chunk_tokens=_PREFILL_CHUNK_TOKENS,
-        event_tokens=max(1, engine.stride),
-        memory_tokens=engine.kv_tokens,
-        connect_timeout_s=_CONNECT_TIMEOUT_S,
-    )
+        return build_service_pool()
+    return build_engine_pool(engine.slots, engine.kv_tokens, engine.stride)
