--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -9,15 +9,14 @@
 
 import msgspec
 
-from anvilhall import defaults
 from anvilhall.clock import Clock
 from anvilhall.core.directory import Directory
+from anvilhall.core.fallback import Fallback, Patience
 from anvilhall.core.messages import (
     Ask,
     Grant,
     Held,
     Inventory,
-    Pause,
     Progress,
     Queued,
     Refusal,
@@ -76,6 +75,17 @@
         #: looked up.
         self.foreign: list[str] | None = None
 
+    def detach(self) -> None:
+        """Wait at no owner."""
+        self.target = None
+        self.queued = False
+
+    def avoid(self, runner: str) -> None:
+        """Ask again, and for another runner than this one."""
+        avoid = (*self.ask.avoid, runner)
+        self.ask = msgspec.structs.replace(self.ask, avoid=avoid)
+        self.detach()
+
 
 class _Running:
     """A granted request."""
@@ -91,16 +101,6 @@
         self.tokens = 0
 
 
-class Patience(msgspec.Struct, frozen=True, kw_only=True):
-    """How long this instance waits for owners, in seconds."""
-
-    #: Until an owner's first answer to an ask; ``None``: until it is known
-    #: to be gone.
-    answer_s: float | None = None
-    #: For inventories, on becoming an owner.
-    settling_s: float = defaults.SETTLING_S
-
-
 class Broker:
     """Asks owners for grants on behalf of this instance's requests.
 
@@ -119,10 +119,8 @@
         '_forward',
         '_name',
         '_owners',
-        '_patience',
         '_pending',
         '_running',
-        '_mute',
         '_send',
         'owner',
     )
@@ -138,7 +136,7 @@
         patience: Patience | None = None,
     ) -> None:
         """Start with no requests."""
-        self._patience = patience or Patience()
+        patience = patience or Patience()
         self._name = name
         self._clock = clock
         self._directory = directory
@@ -152,11 +150,14 @@
             clock,
             self._route_answer,
             policy,
-            self._patience.settling_s,
+            patience.settling_s,
+        )
+        self._fallback = Fallback(
+            clock,
+            self._take_fallback_answer,
+            policy,
+            patience,
         )
-        #: Owners that let an ask go unanswered and were not heard of since.
-        self._mute: set[str] = set()
-        self._fallback = Owner(clock, self._take_fallback_answer, policy)
 
     @property
     def running_count(self) -> int:
@@ -197,12 +198,14 @@
         elif isinstance(message, Queued):
             self._take_queued(sender, message)
         else:
-            self._take_pause(message)
+            running = self._running.get(message.request_id)
+            if running:
+                running.ticket.take_pause()
 
     def set_tree(self, tree: Tree) -> None:
         """Take over changed settings."""
         self.owner.set_tree(tree)
-        self._fallback.set_tree(tree)
+        self._fallback.owner.set_tree(tree)
         self.refresh(tree)
 
     def refresh(self, tree: Tree) -> None:
@@ -210,7 +213,7 @@
         for pool in tree.pools:
             seats = self._directory.list_seats(pool)
             self.owner.set_seats(pool, seats)
-            self._fallback.set_seats(pool, seats)
+            self._fallback.owner.set_seats(pool, seats)
             self._follow_owner(pool)
         self._move_requests()
         self.tick()
@@ -239,13 +242,13 @@
     def tick(self) -> None:
         """Do what is due by time alone."""
         self.owner.tick()
-        self._fallback.tick()
+        self._fallback.owner.tick()
         now = self._clock.monotonic()
         for pending in list(self._pending.values()):
             if pending.target is None:
                 self._place(pending)
             elif self._is_unanswered(pending, now):
-                self._mute.add(pending.target)
+                self._fallback.note_mute(pending.target)
                 self._tell_withdrawn(pending)
                 self._ask_fallback(pending)
             elif now - pending.asked_at >= SPILL_AFTER_S:
@@ -254,14 +257,13 @@
 
     def note_heard(self, instance: str) -> None:
         """Note a message from an instance: it answers again."""
-        self._mute.discard(instance)
+        self._fallback.note_heard(instance)
 
     def drop_link(self, instance: str) -> None:
         """Ask elsewhere for what was asked of an instance now out of reach."""
         for pending in self._pending.values():
             if pending.target == instance:
-                pending.target = None
-                pending.queued = False
+                pending.detach()
 
     def _place(self, pending: _Pending) -> None:
         pool = pending.ask.pool
@@ -274,7 +276,7 @@
             pending.target = owner
             self.owner.handle(self._name, pending.ask)
             return
-        if owner in self._mute:
+        if self._fallback.is_mute(owner):
             self._ask_fallback(pending)
             return
         try:
@@ -288,8 +290,7 @@
         share = 1.0 / max(1, len(self._directory.live))
         pending.target = _FALLBACK
         pending.queued = False
-        self._fallback.take_over(pending.ask.pool, (), share)
-        self._fallback.handle(self._name, pending.ask)
+        self._fallback.ask(self._name, pending.ask, share)
 
     def _spill(self, pending: _Pending) -> bool:
         """Ask the next owner in another region; return whether one was."""
@@ -312,8 +313,7 @@
     def _is_unanswered(self, pending: _Pending, now: float) -> bool:
         if pending.queued or pending.target in {_FALLBACK, self._name}:
             return False
-        limit_s = self._patience.answer_s
-        return limit_s is not None and now - pending.asked_at >= limit_s
+        return self._fallback.is_overdue(now - pending.asked_at)
 
     def _take_queued(self, sender: str, queued: Queued) -> None:
         pending = self._pending.get(queued.request_id)
@@ -323,12 +323,12 @@
     def _take_grant(self, sender: str, grant: Grant) -> None:
         pending = self._pending.pop(grant.request_id, None)
         if pending is None:
-            self._return_grant(sender, grant)
+            self._report(sender, _build_release(grant))
             return
         if self._directory.is_leaving(grant.runner):
             # The owner has older news of the runner; it is asked again.
-            self._return_grant(sender, grant)
-            self._avoid(pending, grant.runner)
+            self._report(sender, _build_release(grant))
+            pending.avoid(grant.runner)
             self._pending[grant.request_id] = pending
             return
         if pending.target != sender:
@@ -336,12 +336,6 @@
         self._running[grant.request_id] = _Running(pending, grant, sender)
         pending.ticket.take_grant(grant)
 
-    def _avoid(self, pending: _Pending, runner: str) -> None:
-        avoid = (*pending.ask.avoid, runner)
-        pending.ask = msgspec.structs.replace(pending.ask, avoid=avoid)
-        pending.target = None
-        pending.queued = False
-
     def _take_refusal(self, sender: str, refusal: Refusal) -> None:
         pending = self._pending.get(refusal.request_id)
         if pending is None or pending.target != sender:
@@ -354,18 +348,10 @@
             return
         self._refuse(pending, _build_error(refusal))
 
-    def _take_pause(self, pause: Pause) -> None:
-        running = self._running.get(pause.request_id)
-        if running:
-            running.ticket.take_pause()
-
     def _refuse(self, pending: _Pending, error: RequestRefused) -> None:
         self._pending.pop(pending.ask.request_id, None)
         pending.ticket.take_refusal(error)
 
-    def _return_grant(self, sender: str, grant: Grant) -> None:
-        self._report(sender, _build_release(grant))
-
     def _tell_withdrawn(self, pending: _Pending) -> None:
         if pending.target is None:
             return
@@ -373,7 +359,7 @@
 
     def _report(self, target: str, message: Progress | Release) -> None:
         if target == _FALLBACK:
-            self._fallback.handle(self._name, message)
+            self._fallback.report(self._name, message)
         elif target == self._name:
             self.owner.handle(self._name, message)
         else:
@@ -387,19 +373,13 @@
             # learns what is running from the inventory when it comes back.
             return
 
-    def _take_over(self, pool: str) -> None:
-        if pool in self.owner.pools:
-            return
-        peers = set(self._directory.live) - {self._name}
-        self.owner.take_over(pool, peers)
-        self.owner.handle(self._name, self.list_inventory(pool))
-
     def _follow_owner(self, pool: str) -> None:
         owner = self._directory.find_owner(pool)
-        if owner == self._name:
-            self._take_over(pool)
-        else:
+        if owner != self._name:
             self.owner.resign(pool)
+        elif pool not in self.owner.pools:
+            self.owner.take_over(pool, set(self._directory.live) - {owner})
+            self.owner.handle(owner, self.list_inventory(pool))
         if owner != self._owners.get(pool):
             self._owners[pool] = owner
             self.report_inventory(pool)
@@ -415,8 +395,7 @@
             owner = self._directory.find_owner(pending.ask.pool)
             if owner and pending.target not in {owner, None}:
                 self._tell_withdrawn(pending)
-                pending.target = None
-                pending.queued = False
+                pending.detach()
 
     def _is_home(self, running: _Running) -> bool:
         seats = self._directory.list_seats(running.ask.pool)
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from anvilhall.core.members import Member, MemberList
-from anvilhall.core.shard import Seat
+from anvilhall.core.roster import Seat
 
 
 def rank_owners(names: Iterable[str], shard: str) -> list[str]:
@@ -66,7 +66,13 @@
         """
         unreached = self._find_unreached()
         return [
-            Seat(member.name, member.address, member.leaving, member.slots)
+            Seat(
+                member.name,
+                member.address,
+                member.leaving,
+                member.slots,
+                member.born,
+            )
             for member in self._members.values()
             if member.pool == pool
             and member.region == self._region
--- /dev/null
+++ b/src/anvilhall/core/fallback.py
@@ -0,0 +1,71 @@
+"""What an instance grants itself while an owner does not answer."""
+
+import msgspec
+
+from anvilhall import defaults
+from anvilhall.clock import Clock
+from anvilhall.core.messages import Ask, Progress, Release
+from anvilhall.core.owner import Deliver, Owner
+
+
+class Patience(msgspec.Struct, frozen=True, kw_only=True):
+    """How long this instance waits for owners, in seconds."""
+
+    #: Until an owner's first answer to an ask; ``None``: until it is known
+    #: to be gone.
+    answer_s: float | None = None
+    #: For inventories, on becoming an owner.
+    settling_s: float = defaults.SETTLING_S
+
+
+class Fallback:
+    """Shards of this instance's own, with a share of the runners' slots.
+
+    An owner that let an ask go unanswered is passed by until it is heard of
+    again: one request pays for the discovery, not each of them.
+    """
+
+    __slots__ = ('_mute', '_patience', 'owner')
+
+    def __init__(
+        self,
+        clock: Clock,
+        deliver: Deliver,
+        policy: str,
+        patience: Patience,
+    ) -> None:
+        """Start without shards."""
+        self._patience = patience
+        self._mute: set[str] = set()
+        self.owner = Owner(clock, deliver, policy)
+
+    def ask(self, name: str, ask: Ask, share: float) -> None:
+        """Decide on a request.
+
+        :param name: this instance.
+        :param share: share of the slots to use.
+        """
+        self.owner.take_over(ask.pool, (), share)
+        self.owner.set_share(ask.pool, share)
+        self.owner.handle(name, ask)
+
+    def report(self, name: str, message: Progress | Release) -> None:
+        """Take in what became of a request that was granted here."""
+        self.owner.handle(name, message)
+
+    def is_overdue(self, waited_s: float) -> bool:
+        """Return whether an owner's first answer takes too long."""
+        limit_s = self._patience.answer_s
+        return limit_s is not None and waited_s >= limit_s
+
+    def is_mute(self, owner: str) -> bool:
+        """Return whether an owner is passed by."""
+        return owner in self._mute
+
+    def note_mute(self, owner: str) -> None:
+        """Pass an owner by until it is heard of."""
+        self._mute.add(owner)
+
+    def note_heard(self, instance: str) -> None:
+        """Note a message from an instance."""
+        self._mute.discard(instance)
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -20,7 +20,9 @@
     Release,
 )
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES
-from anvilhall.core.shard import Action, Seat, Shard
+from anvilhall.core.roster import Seat
+from anvilhall.core.runners import Runner
+from anvilhall.core.shard import Action, Shard
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import Overloaded
 
@@ -120,11 +122,17 @@
         if pool in self._owned or pool not in self._tree.pools:
             return
         shard = Shard(pool, self._tree, self._policy)
-        shard.share = share
+        shard.set_share(share)
         shard.set_runners(self._seats.get(pool, ()))
         until = self._clock.monotonic() + self._settling_s
         self._owned[pool] = _Owned(shard, set(peers), until)
 
+    def set_share(self, pool: str, share: float) -> None:
+        """Use a share of the slots of an owned shard only."""
+        owned = self._owned.get(pool)
+        if owned:
+            owned.shard.set_share(share)
+
     def resign(self, pool: str) -> None:
         """Stop owning a shard; those who wait are told to ask elsewhere."""
         owned = self._owned.pop(pool, None)
@@ -245,3 +253,18 @@
                 ),
             )
     return summaries
+
+
+def list_suspects(owner: Owner) -> frozenset[tuple[str, str]]:
+    """Return pool and name of each runner that gets single probes only."""
+    return frozenset(
+        (pool, runner.name)
+        for pool in owner.pools
+        for runner in _list_runners(owner, pool)
+        if runner.suspect
+    )
+
+
+def _list_runners(owner: Owner, pool: str) -> Iterable[Runner]:
+    shard = owner.get_shard(pool)
+    return shard.runners.values() if shard else ()
--- a/src/anvilhall/core/placements.py
+++ b/src/anvilhall/core/placements.py
@@ -95,7 +95,7 @@
     predicted_s = runner.predict_first_token_s(ask)
     higher, others, own = runner.weigh_gaps(ask, work, now)
     harm_s = _LATE_HIGHER_S * (higher + own) + _LATE_STREAM_S * others
-    lateness = predicted_s / work.objective_s - _SAFE_OBJECTIVE_SHARE
+    lateness = predicted_s / work.aims.first_s - _SAFE_OBJECTIVE_SHARE
     risk = min(1.0, max(0.0, lateness / (1 - _SAFE_OBJECTIVE_SHARE)))
     end = 1 - rank if work.long else rank
     return predicted_s + harm_s + _LATE_START_S * risk + _PACKING_S * end
--- /dev/null
+++ b/src/anvilhall/core/roster.py
@@ -0,0 +1,182 @@
+"""The runners of one shard, and the choice among them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from anvilhall.core.health import Calibration
+from anvilhall.core.messages import Ask
+from anvilhall.core.placements import PLACEMENTS
+from anvilhall.core.policies import Policy
+from anvilhall.core.runners import Runner, Work
+from anvilhall.core.settings import Pool
+
+
+class Seat(msgspec.Struct, frozen=True):
+    """A live runner as the membership list names it."""
+
+    name: str
+    address: str
+    leaving: bool = False
+    #: Requests that it runs at once; 0: as the pool's settings say.
+    slots: int = 0
+    #: Unix milliseconds of its start; 0: unknown.
+    born: int = 0
+
+
+class Roster:
+    """Runners by name.
+
+    :param policy: which mechanisms are at work.
+    """
+
+    __slots__ = (
+        '_calibration',
+        '_placement',
+        '_policy',
+        '_pool',
+        'runners',
+        'share',
+    )
+
+    def __init__(self, policy: Policy, pool: Pool) -> None:
+        """Start with no runners."""
+        self._policy = policy
+        self._pool = pool
+        self._placement = PLACEMENTS.get(policy.placement)
+        self._calibration = Calibration()
+        self.runners: dict[str, Runner] = {}
+        #: Share of the slots that the shard may use, in (0, 1].
+        self.share = 1.0
+
+    @property
+    def running_count(self) -> int:
+        """Number of requests on runners."""
+        return sum(len(runner.works) for runner in self.runners.values())
+
+    @property
+    def slots(self) -> int:
+        """Number of requests that all runners can run at once."""
+        return sum(runner.slots for runner in self.runners.values())
+
+    def has_staying(self) -> bool:
+        """Return whether any runner takes new work."""
+        return any(not runner.leaving for runner in self.runners.values())
+
+    def set_pool(self, pool: Pool) -> None:
+        """Take over changed settings of the pool."""
+        self._pool = pool
+        for runner in self.runners.values():
+            runner.set_pool(pool)
+
+    def set_seats(self, seats: Iterable[Seat]) -> None:
+        """Take over the membership list's view of the pool in this region."""
+        wanted = {seat.name: seat for seat in seats}
+        for name in list(self.runners):
+            if name not in wanted:
+                self.runners[name].leaving = True
+                self.drop_if_done(self.runners[name])
+        for seat in wanted.values():
+            self._set_seat(seat)
+
+    def find_work(self, request_id: str) -> tuple[Runner, Work] | None:
+        """Return the runner and the account of a granted request."""
+        for runner in self.runners.values():
+            work = runner.works.get(request_id)
+            if work:
+                return runner, work
+        return None
+
+    def drop_if_done(self, runner: Runner) -> None:
+        """Forget a runner that takes no new work and has none left."""
+        if runner.leaving and not runner.works:
+            self.runners.pop(runner.name, None)
+
+    def calibrate(self) -> None:
+        """Take over the runners' present speeds as the pool's typical one."""
+        if self._policy.calibrate and self.runners:
+            self._calibration.set_slowdowns(
+                runner.health.slowdown for runner in self.runners.values()
+            )
+
+    def place(
+        self,
+        ask: Ask,
+        work: Work,
+        spare_slots: int,
+        now: float,
+    ) -> Runner | None:
+        """Return the runner that a request costs least on.
+
+        :param spare_slots: slots of each runner to leave free.
+        :param now: monotonic seconds.
+        :return: ``None`` if no runner has room for it.
+        """
+        lenient = self._are_most_suspect()
+        fitting = [
+            runner
+            for runner in self.runners.values()
+            if runner.can_take(
+                work,
+                spare_slots + self._count_others(runner),
+                now,
+                lenient=lenient,
+            )
+        ]
+        preferred = [
+            runner for runner in fitting if runner.name not in ask.avoid
+        ]
+        candidates = preferred or fitting
+        if not candidates:
+            return None
+        ranks = self._rank_runners()
+        return min(
+            candidates,
+            key=lambda runner: self._placement(
+                runner,
+                ask,
+                work,
+                ranks[runner.name],
+                now,
+            ),
+        )
+
+    def _set_seat(self, seat: Seat) -> None:
+        runner = self.runners.get(seat.name)
+        if (
+            runner is None
+            or runner.address != seat.address
+            or runner.born != seat.born
+        ):
+            # A runner that was started again holds nothing of before.
+            runner = Runner(
+                seat.name,
+                seat.address,
+                self._pool,
+                self._policy,
+                self._calibration,
+            )
+            runner.born = seat.born
+            self.runners[seat.name] = runner
+        runner.leaving = seat.leaving
+        runner.own_slots = seat.slots
+
+    def _count_others(self, runner: Runner) -> int:
+        """Return the slots of a runner that are for other shards to use."""
+        return runner.slots - max(1, int(runner.slots * self.share))
+
+    def _are_most_suspect(self) -> bool:
+        """Return whether suspicion tells most of the runners apart no more."""
+        staying = [
+            runner.suspect
+            for runner in self.runners.values()
+            if not runner.leaving
+        ]
+        return self._policy.calibrate and sum(staying) * 2 > len(staying)
+
+    def _rank_runners(self) -> dict[str, float]:
+        last = max(1, len(self.runners) - 1)
+        return {
+            name: place / last
+            for place, name in enumerate(sorted(self.runners))
+        }
--- a/src/anvilhall/core/routes.py
+++ b/src/anvilhall/core/routes.py
@@ -17,7 +17,7 @@
     name: str
     host: str
     #: Begins and ends with a slash.
-    path_prefix: str
+    prefix: str
     #: Pools with their shares of the requests.
     pools: tuple[tuple[str, float], ...]
     #: Whether answers are streams of events.
@@ -68,7 +68,7 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
-            prefixes[route.path_prefix] = route
+            prefixes[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route:
         """Return the route of a request.
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -3,6 +3,8 @@
 import collections
 import math
 
+import msgspec
+
 from anvilhall.core.health import Calibration, Health
 from anvilhall.core.limits import Flow, TokenBucket
 from anvilhall.core.messages import Ask
@@ -29,24 +31,29 @@
 _LONG_GAPS_PER_S = 0.1
 
 
+class Aims(msgspec.Struct, frozen=True):
+    """What a class aims at, in seconds."""
+
+    #: To the first token, or to the whole answer.
+    first_s: float = math.inf
+    #: Between two events of a stream.
+    gap_s: float = math.inf
+
+
 class Work:
     """One granted request, as its runner's account sees it."""
 
     __slots__ = (
         'account',
+        'aims',
         'class_name',
         'context_tokens',
         'first_token_seen',
-        'gap_target_s',
-        'granted_at',
         'long',
-        'objective_s',
         'order',
         'predicted_s',
         'prefill_tokens',
         'request_id',
-        'runner',
-        'tier',
         'tokens',
         'uncached_tokens',
     )
@@ -56,8 +63,6 @@
         self.request_id = request_id
         self.class_name = class_name
         self.account = account
-        self.runner = ''
-        self.tier = 0
         #: Tier, and the class's rank in it.
         self.order = (0, 0)
         self.long = False
@@ -67,14 +72,14 @@
         #: Tokens that the request may come to hold in the runner's memory.
         self.context_tokens = 0
         self.tokens = 0
-        self.granted_at = 0.0
         self.predicted_s = 0.0
         self.first_token_seen = False
-        #: Time to the first token or to the whole answer that the class aims
-        #: at, in seconds.
-        self.objective_s = math.inf
-        #: Longest gap between tokens that the class allows, in seconds.
-        self.gap_target_s = math.inf
+        self.aims = Aims()
+
+    @property
+    def tier(self) -> int:
+        """Tier of the request; 0 is the highest."""
+        return self.order[0]
 
 
 def _weigh_gap(gap_s: float, target_s: float) -> float:
@@ -96,6 +101,7 @@
         '_prefill_flow',
         '_prefixes',
         'address',
+        'born',
         'health',
         'leaving',
         'name',
@@ -117,6 +123,8 @@
         self._policy = policy
         self.name = name
         self.address = address
+        #: Unix milliseconds of its start; 0: unknown.
+        self.born = 0
         self._pool = pool
         self.works: dict[str, Work] = {}
         self.leaving = False
@@ -191,8 +199,6 @@
 
     def add_work(self, work: Work, ask: Ask, now: float) -> None:
         """Give a slot to a request."""
-        work.runner = self.name
-        work.granted_at = now
         work.predicted_s = (
             self.predict_first_token_s(ask) / self._relative_slowdown
         )
@@ -303,15 +309,16 @@
             len(self.works) + 1,
             flow + uncached,
         )
-        higher = others = 0.0
+        higher = 0.0
+        others = 0.0
         for other in self.works.values():
-            added = _weigh_gap(after_s, other.gap_target_s)
-            added -= _weigh_gap(before_s, other.gap_target_s)
+            added = _weigh_gap(after_s, other.aims.gap_s)
+            added -= _weigh_gap(before_s, other.aims.gap_s)
             if other.order < work.order:
                 higher += added
             else:
                 others += added
-        return higher, others, _weigh_gap(after_s, work.gap_target_s)
+        return higher, others, _weigh_gap(after_s, work.aims.gap_s)
 
     def _has_memory(self, work: Work) -> bool:
         limit = self._pool.memory_tokens
@@ -322,7 +329,7 @@
 
     def predict_collision_s(self, ask: Ask) -> float:
         """Return the harm of prefill that meets other prefill, in seconds."""
-        targets = [work.gap_target_s for work in self.works.values()]
+        targets = [work.aims.gap_s for work in self.works.values()]
         turn_s = self._predict_backlog_s() + self.predict_prefill_s(ask)
         if turn_s + self._predict_step_s() <= min(targets, default=math.inf):
             return 0.0
@@ -331,7 +338,7 @@
     def _count_long_gaps(self, work: Work) -> int:
         """Return how many gaps beyond their target a prefill would cause."""
         targets = [
-            other.gap_target_s
+            other.aims.gap_s
             for other in self.works.values()
             if other.tier < work.tier
         ]
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -5,13 +5,13 @@
 """
 
 import datetime as dt
+import math
 from collections.abc import Iterable
 
 import msgspec
 
 from anvilhall import defaults
 from anvilhall.core.admission import Admission
-from anvilhall.core.health import Calibration
 from anvilhall.core.messages import (
     Ask,
     Grant,
@@ -21,10 +21,10 @@
     Refusal,
     Release,
 )
-from anvilhall.core.placements import PLACEMENTS
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES, Policy
 from anvilhall.core.queues import ClassQueue, PoolQueue, Waiting
-from anvilhall.core.runners import Runner, Work
+from anvilhall.core.roster import Roster, Seat
+from anvilhall.core.runners import Aims, Runner, Work
 from anvilhall.core.schedules import is_active
 from anvilhall.core.settings import ClassSettings, Pool
 from anvilhall.core.tree import Tree
@@ -46,16 +46,6 @@
 _REDONE_SHARE = 0.005
 
 
-class Seat(msgspec.Struct, frozen=True):
-    """A live runner as the membership list names it."""
-
-    name: str
-    address: str
-    leaving: bool = False
-    #: Requests that it runs at once; 0: as the pool's settings say.
-    slots: int = 0
-
-
 class Action(msgspec.Struct, frozen=True):
     """A message for an entry instance."""
 
@@ -68,20 +58,17 @@
 
     __slots__ = (
         '_admission',
-        '_calibration',
         '_granted_tokens',
-        '_placement',
         '_policy',
         '_pool',
         '_pool_name',
         '_queue',
         '_redone_tokens',
+        '_roster',
         '_senders',
         '_shed_at',
         '_tree',
         'paused',
-        'runners',
-        'share',
     )
 
     def __init__(
@@ -92,23 +79,24 @@
     ) -> None:
         """Start with no runners."""
         self._policy = policy or POLICIES.get(DEFAULT_POLICY)
-        self._placement = PLACEMENTS.get(self._policy.placement)
         self._pool_name = pool_name
-        self.runners: dict[str, Runner] = {}
         self._queue = PoolQueue(self._policy)
         self._admission = Admission()
         self._senders: dict[str, str] = {}
-        self._calibration = Calibration()
         #: When requests were last refused for load, by tier and rank.
         self._shed_at: dict[tuple[int, int], float] = {}
         self.paused: set[str] = set()
         #: Tokens granted so far, and those read again because of pauses.
         self._granted_tokens = 0
         self._redone_tokens = 0
-        #: Share of the slots that this shard may use, in (0, 1].
-        self.share = 1.0
+        self._roster = Roster(self._policy, tree.pools[pool_name])
         self.set_tree(tree)
 
+    @property
+    def runners(self) -> dict[str, Runner]:
+        """Runners by name."""
+        return self._roster.runners
+
     @property
     def waiting_count(self) -> int:
         """Number of requests in the queue."""
@@ -117,37 +105,22 @@
     @property
     def running_count(self) -> int:
         """Number of requests on runners."""
-        return sum(len(runner.works) for runner in self.runners.values())
+        return self._roster.running_count
+
+    def set_share(self, share: float) -> None:
+        """Use a share of the runners' slots only, in (0, 1]."""
+        self._roster.share = share
 
     def set_tree(self, tree: Tree) -> None:
         """Take over changed settings."""
         self._tree = tree
         self._pool: Pool = tree.pools[self._pool_name]
         self._admission.set_tree(tree)
-        for runner in self.runners.values():
-            runner.set_pool(self._pool)
+        self._roster.set_pool(self._pool)
 
     def set_runners(self, seats: Iterable[Seat]) -> None:
         """Take over the membership list's view of the pool in this region."""
-        wanted = {seat.name: seat for seat in seats}
-        for name in list(self.runners):
-            if name not in wanted:
-                self.runners[name].leaving = True
-                if not self.runners[name].works:
-                    self.runners.pop(name)
-        for seat in wanted.values():
-            runner = self.runners.get(seat.name)
-            if runner is None or runner.address != seat.address:
-                runner = Runner(
-                    seat.name,
-                    seat.address,
-                    self._pool,
-                    self._policy,
-                    self._calibration,
-                )
-                self.runners[seat.name] = runner
-            runner.leaving = seat.leaving
-            runner.own_slots = seat.slots
+        self._roster.set_seats(seats)
 
     def submit(self, sender: str, ask: Ask, now: float) -> list[Action]:
         """Take in a request; shed one if the queue is full.
@@ -193,7 +166,8 @@
     def is_waiting(self, request_id: str) -> bool:
         """Return whether a request is in the queue."""
         return (
-            request_id in self._senders and self._find_work(request_id) is None
+            request_id in self._senders
+            and self._roster.find_work(request_id) is None
         )
 
     def withdraw(self, request_id: str) -> bool:
@@ -205,7 +179,7 @@
 
     def note_progress(self, progress: Progress, now: float) -> None:
         """Learn from a running request."""
-        found = self._find_work(progress.request_id)
+        found = self._roster.find_work(progress.request_id)
         if found is None:
             return
         runner, work = found
@@ -213,19 +187,19 @@
         work.long = work.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
         if progress.first_token_s:
             runner.note_first_token(work, progress.first_token_s)
-            self._calibrate()
+            self._roster.calibrate()
         runner.note_gap(progress.gap_s, now)
 
     def release(self, release: Release, now: float) -> None:
         """Free the runner of a request that ended, or take it off the queue."""
         self.withdraw(release.request_id)
-        found = self._find_work(release.request_id)
+        found = self._roster.find_work(release.request_id)
         if found is None:
             return
         runner, work = found
         if release.first_token_s:
             runner.note_first_token(work, release.first_token_s)
-            self._calibrate()
+            self._roster.calibrate()
         if release.failure:
             runner.health.note_failure(release.failure, now)
         elif release.served:
@@ -237,8 +211,7 @@
             )
         runner.remove_work(release.request_id)
         self._leave(work.request_id, work.account, work.class_name)
-        if runner.leaving and not runner.works:
-            self.runners.pop(runner.name, None)
+        self._roster.drop_if_done(runner)
 
     def adopt(self, sender: str, held: Held, now: float) -> None:
         """Take over a request that was granted by an earlier owner."""
@@ -251,9 +224,7 @@
         work.first_token_seen = held.tokens > 0
         work.long = held.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
         settings = self._tree.classes.get(held.class_name)
-        work.tier = settings.tier if settings else 0
-        work.runner = runner.name
-        work.granted_at = now
+        work.order = _get_order(settings) if settings else work.order
         work.predicted_s = 1.0
         runner.works[held.request_id] = work
         self._senders[held.request_id] = sender
@@ -270,16 +241,10 @@
                 )
                 self.release(ended, 0)
 
-    def _calibrate(self) -> None:
-        if not self._policy.calibrate:
-            return
-        slowdowns = [runner.health.slowdown for runner in self.runners.values()]
-        self._calibration.set_slowdowns(slowdowns)
-
     def _repeat_answer(self, sender: str, ask: Ask) -> list[Action]:
         """Answer an ask that was sent again because a link broke."""
         self._senders[ask.request_id] = sender
-        found = self._find_work(ask.request_id)
+        found = self._roster.find_work(ask.request_id)
         if found is None:
             return []
         runner, work = found
@@ -306,7 +271,7 @@
                 tier=ask.tier,
                 rank=settings.tier,
             )
-        if not any(not runner.leaving for runner in self.runners.values()):
+        if not self._roster.has_staying():
             raise NoRunner(f'no live runner of {self._pool_name}', 1.0)
         self._admission.check(ask, settings, now)
         return settings
@@ -325,7 +290,7 @@
             waiting = self._queue.remove(request_id)
             if waiting:
                 self._forget(waiting.ask)
-                error = _explain_expiry(waiting, now)
+                error = self._explain_expiry(waiting, now)
                 order = _get_order(waiting.class_settings)
                 self._shed_at[order] = now
                 actions.append(_refuse(waiting.sender, request_id, error))
@@ -337,11 +302,22 @@
                 continue
             waiting = queue.peek()
             work = _describe_work(waiting)
-            runner = self._place(waiting, work, now, wall)
+            spare = self._count_spare_slots(work.tier, wall)
+            runner = self._roster.place(waiting.ask, work, spare, now)
             if runner:
                 return self._grant(queue, runner, work, now)
         return None
 
+    def _explain_expiry(self, waiting: Waiting, now: float) -> RequestRefused:
+        waited_s = now - waiting.arrived_at
+        reason = (
+            f'no runner after {waited_s:.2f} s; {self.running_count} of '
+            f'{self._roster.slots} slots taken, {len(self._queue)} waiting'
+        )
+        if now >= waiting.deadline_at:
+            return DeadlinePassed(reason)
+        return Overloaded(reason, _RETRY_AFTER_S)
+
     def _gives_way(self, queue: ClassQueue, now: float) -> bool:
         """Return whether requests that go first were refused just now.
 
@@ -357,59 +333,6 @@
             for first, shed_at in self._shed_at.items()
         )
 
-    def _place(
-        self,
-        waiting: Waiting,
-        work: Work,
-        now: float,
-        wall: dt.datetime,
-    ) -> Runner | None:
-        spare = self._count_spare_slots(work.tier, wall)
-        lenient = self._are_most_suspect()
-        fitting = [
-            runner
-            for runner in self.runners.values()
-            if runner.can_take(
-                work,
-                spare + self._count_others(runner),
-                now,
-                lenient=lenient,
-            )
-        ]
-        preferred = [
-            runner for runner in fitting if runner.name not in waiting.ask.avoid
-        ]
-        candidates = preferred or fitting
-        if not candidates:
-            return None
-        ranks = self._rank_runners()
-        return min(
-            candidates,
-            key=lambda runner: self._placement(
-                runner,
-                waiting.ask,
-                work,
-                ranks[runner.name],
-                now,
-            ),
-        )
-
-    def _are_most_suspect(self) -> bool:
-        """Return whether suspicion tells most of the runners apart no more."""
-        staying = [
-            runner.suspect
-            for runner in self.runners.values()
-            if not runner.leaving
-        ]
-        return self._policy.calibrate and sum(staying) * 2 > len(staying)
-
-    def _rank_runners(self) -> dict[str, float]:
-        last = max(1, len(self.runners) - 1)
-        return {
-            name: place / last
-            for place, name in enumerate(sorted(self.runners))
-        }
-
     def _grant(
         self,
         queue: ClassQueue,
@@ -471,17 +394,6 @@
             and is_active(schedules[reserve.schedule], wall)
         )
 
-    def _count_others(self, runner: Runner) -> int:
-        """Return the slots of a runner that are for other shards to use."""
-        return runner.slots - max(1, int(runner.slots * self.share))
-
-    def _find_work(self, request_id: str) -> tuple[Runner, Work] | None:
-        for runner in self.runners.values():
-            work = runner.works.get(request_id)
-            if work:
-                return runner, work
-        return None
-
     def _forget(self, ask: Ask) -> None:
         self._leave(ask.request_id, ask.account, ask.class_name)
 
@@ -506,33 +418,26 @@
 def _describe_work(waiting: Waiting) -> Work:
     ask = waiting.ask
     work = Work(ask.request_id, ask.class_name, ask.account)
-    work.tier = waiting.class_settings.tier
     work.order = _get_order(waiting.class_settings)
     work.prefill_tokens = ask.prompt_tokens
     work.uncached_tokens = ask.prompt_tokens
     work.context_tokens = ask.prompt_tokens + ask.max_tokens
     work.long = ask.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
-    target = waiting.class_settings.target
-    objective_ms = target.first_token_ms or target.done_ms
-    if objective_ms:
-        work.objective_s = objective_ms / _MS_PER_S
-    gap_ms = target.gap_ms
-    if gap_ms:
-        work.gap_target_s = gap_ms / _MS_PER_S
+    work.aims = _describe_aims(waiting.class_settings)
     return work
 
 
+def _describe_aims(settings: ClassSettings) -> Aims:
+    target = settings.target
+    first_ms = target.first_token_ms or target.done_ms or math.inf
+    return Aims(first_ms / _MS_PER_S, (target.gap_ms or math.inf) / _MS_PER_S)
+
+
 def _get_victim_order(work: Work) -> tuple[int, float]:
     # The lowest tier first, and of it the one with the least work to redo.
     return work.tier, -work.prefill_tokens - work.tokens
 
 
-def _explain_expiry(waiting: Waiting, now: float) -> RequestRefused:
-    if now >= waiting.deadline_at:
-        return DeadlinePassed()
-    return Overloaded('no runner within the wait limit', _RETRY_AFTER_S)
-
-
 def _refuse(sender: str, request_id: str, error: RequestRefused) -> Action:
     refusal = Refusal(
         request_id=request_id,
--- a/src/anvilhall/daemon.py
+++ b/src/anvilhall/daemon.py
@@ -7,12 +7,12 @@
 
 import click
 
-from anvilhall.clock import SystemClock
+from anvilhall.clock import Clock, SystemClock
 from anvilhall.core.settings import SettingsFaulty
 from anvilhall.gateway import Gateway
 from anvilhall.instance import Instance
 from anvilhall.local import LocalConfig
-from anvilhall.logs import start_logging
+from anvilhall.logs import LogWriter, start_logging
 
 #: Exit code for settings that can't be used.
 _EXIT_SETTINGS = 2
@@ -30,24 +30,33 @@
     except SettingsFaulty as error:
         click.echo(f'anvilhalld: {error.reason}', err=True)
         sys.exit(_EXIT_SETTINGS)
-    start_logging()
-    asyncio.run(_run_until_signal(config))
+    clock = SystemClock()
+    writer = start_logging(clock)
+    asyncio.run(_run_until_signal(config, clock, writer))
 
 
-def build_program(config: LocalConfig) -> Instance | Gateway:
+def build_program(
+    config: LocalConfig,
+    clock: Clock,
+) -> Instance | Gateway:
     """Return the program that the settings describe."""
-    clock = SystemClock()
     if config.relay:
         return Gateway.from_config(config, config.relay, clock)
     return Instance.from_config(config, clock)
 
 
-async def _run_until_signal(config: LocalConfig) -> None:
+async def _run_until_signal(
+    config: LocalConfig,
+    clock: Clock,
+    writer: LogWriter,
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    instance = build_program(config)
+    instance = build_program(config, clock)
+    writer.on_drop = instance.metrics.count_dropped_line
+    loop.add_signal_handler(signal.SIGHUP, instance.note_reload)
     await instance.start()
     await stop.wait()
     await instance.stop()
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -1,4 +1,4 @@
-"""Follows the manifest, the runners and the instances in the store."""
+"""Follows the settings, the runners and the instances in the store."""
 
 import asyncio
 import random
@@ -18,13 +18,13 @@
 )
 from anvilhall.logs import note_change
 from anvilhall.metrics import Metrics
-from anvilhall.platform.manifest import decode_manifest
 from anvilhall.platform.registration import (
     UnusableEntry,
     decode_instance,
     decode_runner,
     encode_instance,
 )
+from anvilhall.platform.settings import decode_settings
 from anvilhall.platform.store import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -35,8 +35,8 @@
     StoreClient,
 )
 
-#: Seconds that one long poll for a manifest may last.
-_MANIFEST_POLL_S = 10.0
+#: Seconds that one long poll for settings may last.
+_SETTINGS_POLL_S = 10.0
 #: Seconds between reads of the runners' entries: two reads fit well into the
 #: two seconds after which a draining runner must get no more requests.
 _RUNNERS_INTERVAL_S = 0.8
@@ -98,7 +98,7 @@
             note_change('store_regained', topic=self._topic)
 
 
-class ManifestFeed(_Feed):
+class SettingsFeed(_Feed):
     """Keeps the newest version of the routing settings."""
 
     __slots__ = ('_on_change', 'settings')
@@ -127,9 +127,9 @@
     def take(self, encoded: bytes, source: str) -> None:
         """Put a version in force if it is newer than the present one."""
         try:
-            settings = decode_manifest(encoded)
+            settings = decode_settings(encoded)
         except SettingsError as error:
-            note_change('manifest_refused', source=source, reason=error.reason)
+            note_change('settings_refused', source=source, reason=error.reason)
             self._metrics.verdicts.labels(error.code).inc()
             return
         if settings.version <= self.version:
@@ -151,7 +151,7 @@
             page = await self._store.read(
                 self._topic,
                 page.next_offset,
-                _MANIFEST_POLL_S,
+                _SETTINGS_POLL_S,
             )
             self._apply(page)
 
@@ -233,7 +233,7 @@
         for record in page.records:
             self._apply_record(record, now)
         if complete:
-            names = {record.key for record in page.records}
+            names = {listed.key for listed in page.records}
             self._view.keep_only(names, page.next_offset, now)
         self._view.expire(now)
         self._tell(before, 'store')
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -4,8 +4,9 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
-from anvilhall.core.broker import Broker, Patience
+from anvilhall.core.broker import Broker
 from anvilhall.core.directory import Directory
+from anvilhall.core.fallback import Patience
 from anvilhall.core.members import MemberList
 from anvilhall.core.membership import Membership, Watch
 from anvilhall.core.messages import (
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -14,11 +14,11 @@
     SettingsAsk,
     SettingsOffer,
 )
-from anvilhall.core.owner import summarise
+from anvilhall.core.owner import list_suspects, summarise
 from anvilhall.core.retries import RetryBudgets
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.exceptions import PeerUnreachable
-from anvilhall.feeds import InstancesFeed, ManifestFeed, RunnersFeed
+from anvilhall.feeds import InstancesFeed, RunnersFeed, SettingsFeed
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.links import Links
 from anvilhall.local import LocalConfig, RelayConfig, split_address
@@ -29,7 +29,7 @@
 from anvilhall.platform.headers import PlatformHeaders
 from anvilhall.platform.store import StoreClient
 from anvilhall.relay import RelayFront, RelayServer
-from anvilhall.relaying import RelayServices
+from anvilhall.relayjobs import RelayServices
 from anvilhall.tasks import TaskSet
 
 #: Seconds between rounds of work that is due by time.
@@ -51,12 +51,13 @@
         '_fleet',
         '_instances',
         '_leaving',
-        '_manifest',
+        '_settings_feed',
         '_operators',
         '_relay_config',
         '_runners',
         '_runners_feed',
         '_server',
+        '_suspects',
         '_tasks',
         'front',
         'metrics',
@@ -80,7 +81,7 @@
         self.metrics = Metrics()
         self._fleet = Fleet(config, clock, self.metrics, build_links)
         store = StoreClient(relay_config.store, outbound)
-        self._manifest = ManifestFeed(
+        self._settings_feed = SettingsFeed(
             store,
             clock,
             self.metrics,
@@ -122,7 +123,12 @@
             ),
             chance,
         )
-        self.front = RelayFront(services, self._get_settings)
+        self.front = RelayFront(
+            services,
+            self._get_settings,
+            self._runners_feed.measure_age_s,
+        )
+        self._suspects: frozenset[tuple[str, str]] = frozenset()
         self._server = RelayServer(self.front, RequestLimits())
         self._operators: HTTPServer | None = None
         self._tasks = TaskSet(self.metrics)
@@ -147,7 +153,7 @@
         """Whether the balancer should send callers here."""
         return (
             not self._leaving
-            and self._manifest.settings is not None
+            and self._settings_feed.settings is not None
             and bool(self._runners)
         )
 
@@ -167,7 +173,7 @@
         )
         self._operators.listen(port, host)
         self._apply_instances(self._instances.members)
-        self._tasks.spawn(self._manifest.run)
+        self._tasks.spawn(self._settings_feed.run)
         self._tasks.spawn(self._runners_feed.run)
         self._tasks.spawn(self._instances.run)
         self._tasks.repeat(
@@ -201,6 +207,14 @@
         self.close()
         note_change('stopped', instance=self._config.instance)
 
+    def note_reload(self) -> None:
+        """Note that the file of this process's settings has changed.
+
+        What it holds is taken over at the next start: addresses and limits of
+        a process do not change while it runs.
+        """
+        note_change('reload', instance=self._config.instance)
+
     def close(self) -> None:
         """Stop everything at once."""
         self._tasks.cancel()
@@ -216,8 +230,8 @@
             failure_domain=self._config.failure_domain,
             ready=self.ready,
             draining=self._leaving,
-            settings_version=self._manifest.version,
-            settings_covers=self._manifest.version,
+            settings_version=self._settings_feed.version,
+            settings_covers=self._settings_feed.version,
             teams={},
             open_requests=self.front.open_requests,
             live=self._fleet.live,
@@ -227,10 +241,10 @@
         )
 
     def _get_settings(self) -> RoutingSettings | None:
-        return self._manifest.settings
+        return self._settings_feed.settings
 
     def _get_version(self) -> int:
-        return self._manifest.version
+        return self._settings_feed.version
 
     def _apply_settings(self, settings: RoutingSettings) -> None:
         self._server.set_limits(settings.limits)
@@ -250,6 +264,12 @@
 
     async def _beat(self) -> None:
         self._fleet.beat()
+        suspects = list_suspects(self._fleet.broker.owner)
+        for pool, runner in sorted(suspects - self._suspects):
+            note_change('runner_suspected', pool=pool, runner=runner)
+        for trusted_pool, trusted in sorted(self._suspects - suspects):
+            note_change('runner_trusted', pool=trusted_pool, runner=trusted)
+        self._suspects = suspects
 
     async def _tick(self) -> None:
         self._fleet.tick()
@@ -261,18 +281,18 @@
 
     def _take_heartbeat(self, sender: str, message: Message) -> None:
         assert isinstance(message, Heartbeat)  # noqa: S101
-        if message.settings_covers > self._manifest.version:
-            self._try_send(sender, SettingsAsk(self._manifest.version))
+        if message.settings_covers > self._settings_feed.version:
+            self._try_send(sender, SettingsAsk(self._settings_feed.version))
 
     def _take_ask(self, sender: str, message: Message) -> None:
         assert isinstance(message, SettingsAsk)  # noqa: S101
-        settings = self._manifest.settings
+        settings = self._settings_feed.settings
         if settings and settings.version > message.covers:
             self._try_send(sender, SettingsOffer(settings.encoded))
 
     def _take_offer(self, sender: str, message: Message) -> None:
         assert isinstance(message, SettingsOffer)  # noqa: S101
-        self._manifest.take(message.snapshot, sender)
+        self._settings_feed.take(message.snapshot, sender)
 
     def _take_runner_news(self, sender: str, message: Message) -> None:
         assert isinstance(message, RunnerNews)  # noqa: S101
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -192,6 +192,10 @@
         self.close()
         note_change('stopped', instance=self._config.instance)
 
+    def note_reload(self) -> None:
+        """Note that the file of this process's settings has changed."""
+        note_change('reload', instance=self._config.instance)
+
     def close(self) -> None:
         """Stop everything at once."""
         self._tasks.cancel()
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -9,6 +9,7 @@
 )
 
 _FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
+_GRANT_WAIT_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1, 3)
 _CLASS = 'class_name'
 _CODE = 'code'
 _REASON = 'reason'
@@ -20,11 +21,14 @@
     __slots__ = (
         'bytes_relayed',
         'claims',
+        'duration',
         'first_token',
         'internal_errors',
         'grants',
         'link_messages',
         'links_opened',
+        'log_lines_dropped',
+        'grant_wait',
         'open_requests',
         'platform_failures',
         'refusals',
@@ -87,6 +91,7 @@
         )
         self.links_opened = self._count(
             'links_opened',
+            'log_lines_dropped',
             'Links between instances that came up.',
             'direction',
         )
@@ -104,6 +109,11 @@
             'Faults of this program that ended periodic work.',
             'kind',
         )
+        self.log_lines_dropped = self._count(
+            'log_lines_dropped',
+            'Log lines not written.',
+            _REASON,
+        )
         self.open_requests = Gauge(
             'anvilhall_open_requests',
             'Requests between arrival and the end of their answer.',
@@ -114,6 +124,20 @@
             'Offset of the publication in force.',
             registry=self.registry,
         )
+        self.grant_wait = Histogram(
+            'anvilhall_grant_wait_seconds',
+            'Time from asking for a runner to its grant or refusal.',
+            ['pool'],
+            buckets=_GRANT_WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.duration = Histogram(
+            'anvilhall_request_seconds',
+            'Time from arrival to the end of the answer.',
+            [_CLASS],
+            buckets=_FIRST_TOKEN_BUCKETS_S,
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             'anvilhall_first_token_seconds',
             'Time from arrival to the first event.',
@@ -122,6 +146,10 @@
             registry=self.registry,
         )
 
+    def count_dropped_line(self, reason: str) -> None:
+        """Count a log line that was not written."""
+        self.log_lines_dropped.labels(reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self.registry)
--- a/src/anvilhall/platform/headers.py
+++ b/src/anvilhall/platform/headers.py
@@ -127,7 +127,7 @@
     named = headers.get('Connection', '')
     if named:
         listed = {name.strip().lower() for name in named.split(',')}
-        dropped = dropped | listed
+        dropped |= listed
     return dropped
 
 
--- a/src/anvilhall/platform/manifest.py
+++ b/src/anvilhall/platform/settings.py
@@ -87,7 +87,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def decode_manifest(encoded: bytes) -> RoutingSettings:
+def decode_settings(encoded: bytes) -> RoutingSettings:
     """Decode a manifest.
 
     :param encoded: JSON as the operator wrote it.
@@ -126,7 +126,7 @@
     return Route(
         name=route.name,
         host=route.host,
-        path_prefix=route.path_prefix,
+        prefix=route.path_prefix,
         pools=pools,
         streaming=route.kind == _STREAMING,
         idempotent=route.kind == _IDEMPOTENT,
@@ -163,8 +163,8 @@
         tier = min(route.priority, highest.get(pool, route.priority))
         highest[pool] = tier
     return {
-        route.name: _build_class(route, highest[_name_pool(route)])
-        for route in routes
+        each.name: _build_class(each, highest[_name_pool(each)])
+        for each in routes
     }
 
 
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -205,7 +205,7 @@
         start = place + _LENGTH.size
         if start > len(body):
             raise LogUnavailable('an answer ends within a record')
-        (size,) = _LENGTH.unpack_from(body, place)
+        size = int.from_bytes(body[place:start])
         place = start + size
         if place > len(body):
             raise LogUnavailable('an answer ends within a record')
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -18,12 +18,13 @@
     ResponseStartLine,
 )
 
-from anvilhall.callers import encode_error
+from anvilhall.callers import REQUEST_ID_HEADER, encode_error
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.dialect import RequestHead
 from anvilhall.exceptions import (
     AnvilhallError,
     BodyTooLarge,
+    CallerGone,
     MalformedRequest,
     NotReady,
     Outcome,
@@ -32,7 +33,8 @@
 )
 from anvilhall.local import split_address
 from anvilhall.logs import note_change
-from anvilhall.relaying import Relay, RelayJob, RelayServices
+from anvilhall.relaying import Relay
+from anvilhall.relayjobs import CallerRequest, RelayJob, RelayServices
 
 #: Bytes that may wait for a slow caller before its request is given up.
 _UNSENT_LIMIT_BYTES = 1024 * 1024
@@ -60,12 +62,14 @@
 
     :param services: what a request needs to run.
     :param get_settings: returns the routing settings in force, or ``None``.
+    :param measure_view_age_s: returns the age of the view of the runners.
     """
 
     __slots__ = (
         '_get_settings',
         'closing',
         'idle',
+        'measure_view_age_s',
         'open_requests',
         'services',
     )
@@ -74,8 +78,10 @@
         self,
         services: RelayServices,
         get_settings: Callable[[], RoutingSettings | None],
+        measure_view_age_s: Callable[[], float | None],
     ) -> None:
         """Start without requests."""
+        self.measure_view_age_s = measure_view_age_s
         self.services = services
         self._get_settings = get_settings
         #: Whether connections are closed as soon as they are idle.
@@ -85,6 +91,12 @@
         self.idle: weakref.WeakSet[RelayRequest] = weakref.WeakSet()
         self.open_requests = 0
 
+    @property
+    def version(self) -> int:
+        """Version of the settings in force; -1: none."""
+        settings = self._get_settings()
+        return settings.version if settings else -1
+
     @property
     def settings(self) -> RoutingSettings:
         """The routing settings in force.
@@ -114,9 +126,11 @@
         if not head.request_id:
             raise MalformedRequest('the request has no identifier')
         job = RelayJob(head, self.services.clock.monotonic())
-        job.method = start_line.method
-        job.target = start_line.path
-        job.headers = headers
+        job.request = CallerRequest(
+            start_line.method,
+            start_line.path,
+            headers,
+        )
         job.route = route
         job.tier = settings.tree.classes[route.name].tier
         if not route.public:
@@ -160,24 +174,31 @@
         self._answered = False
         self._has_body = False
         self._left = False
+        self._host = ''
+        self._path = ''
+        self._request_id = ''
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Check the head of the request before its body is read."""
         self._front.idle.discard(self)
         self._front.open_requests += 1
         self._connection.stream.set_nodelay(True)
+        self._host = headers.get('Host', '')
+        self._path = start_line.path
         self._has_body = (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
         try:
             self._job = self._front.build_job(start_line, headers)
             self._check_length(headers)
+            self._request_id = self._job.request_id
         except BodyTooLarge as too_large:
             self._refuse(too_large)
         except AnvilhallError as error:
             # A connection that is closed with unread bytes is reset, and the
             # caller might lose the answer; so the body is read first.
             self._error = error
+            self._request_id = headers.get(REQUEST_ID_HEADER, '')
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
@@ -202,7 +223,7 @@
         if job is None:
             return
         if self._has_body:
-            job.body = b''.join(self._parts)
+            job.request.body = b''.join(self._parts)
         self._parts.clear()
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._run(job))
@@ -239,20 +260,20 @@
         metrics.requests.labels(job.route.name).inc()
         relay = Relay(job, self, self._front.services)
         self._relay = relay
-        code = 'served'
+        error: AnvilhallError | None = None
         try:
             await relay.run()
-        except AnvilhallError as error:
-            code = error.code
-            self._fail(error, relay)
+        except AnvilhallError as failure:
+            error = failure
+            self._fail(failure, relay)
         except asyncio.CancelledError:
-            code = 'caller_gone'
-            metrics.uncertain.labels(code, job.route.name).inc()
+            error = CallerGone()
+            metrics.uncertain.labels(error.code, job.route.name).inc()
         else:
             self._connection.finish()
         finally:
             self._leave()
-            self._note_end(job, relay, code)
+            self._note_end(job, relay, error)
 
     def _fail(self, error: AnvilhallError, relay: Relay) -> None:
         if not relay.begun:
@@ -267,8 +288,7 @@
         self._answered = True
         self._count(error)
         headers = HTTPHeaders({'Content-Type': 'application/json'})
-        request_id = self._job.request_id if self._job else ''
-        body = encode_error(error, request_id)
+        body = encode_error(error, self._request_id)
         headers['Content-Length'] = str(len(body))
         if error.retry_after_s is not None:
             headers['Retry-After'] = f'{error.retry_after_s:.2f}'
@@ -281,6 +301,7 @@
         self._connection.finish()
         if self._task is None:
             self._leave()
+            self._note_refusal(error, status)
 
     def _check_length(self, headers: HTTPHeaders) -> None:
         declared = headers.get('Content-Length', '0')
@@ -300,8 +321,32 @@
         name = self._job.route.name if self._job else ''
         counter.labels(error.code, name).inc()
 
-    def _note_end(self, job: RelayJob, relay: Relay, code: str) -> None:
-        now = self._front.services.clock.monotonic()
+    def _note_refusal(self, error: AnvilhallError, status: int) -> None:
+        """Write a line for a request that was refused on its head."""
+        note_change(
+            'request_refused',
+            request_id=self._request_id,
+            host=self._host,
+            path=self._path,
+            result=error.code,
+            reason=error.reason,
+            status=status,
+            settings_version=self._front.version,
+        )
+
+    def _note_end(
+        self,
+        job: RelayJob,
+        relay: Relay,
+        error: AnvilhallError | None,
+    ) -> None:
+        services = self._front.services
+        elapsed_s = services.clock.monotonic() - job.arrived_at
+        services.metrics.duration.labels(job.route.name).observe(elapsed_s)
+        if relay.first_event_s:
+            services.metrics.first_token.labels(job.route.name).observe(
+                relay.first_event_s,
+            )
         note_change(
             'request_ended',
             request_id=job.request_id,
@@ -309,14 +354,17 @@
             pool=job.pool_name,
             account=job.account,
             tier=job.tier,
-            result=code,
+            result=error.code if error else 'served',
+            reason=error.reason if error else '',
+            settings_version=self._front.version,
+            view_age_s=self._front.measure_view_age_s(),
             runners=relay.runners,
             sends=relay.sends,
             waits_s=relay.waits_s,
             first_event_s=round(relay.first_event_s, 3),
             longest_gap_s=round(relay.longest_gap_s, 3),
             prompt_tokens=job.head.prompt_tokens,
-            elapsed_s=round(now - job.arrived_at, 3),
+            elapsed_s=round(elapsed_s, 3),
         )
 
 
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -22,6 +22,7 @@
 _SEAL = 'Anvilhall-Server-Seal'
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
+_ERROR_STATUSES = {'busy': 503, 'error': 500}
 #: Seconds between two events of a stream.
 _EVENT_S = 0.01
 
@@ -34,7 +35,9 @@
     def __init__(self, head: bytes, body: bytes) -> None:
         """Decode the head."""
         lines = head.decode('latin-1').split('\r\n')
-        self.method, self.target, _ = lines[0].split(' ', 2)
+        request_line = lines[0].split(' ')
+        self.method = request_line[0]
+        self.target = request_line[1]
         self.headers = HTTPHeaders.parse('\r\n'.join(lines[1:]))
         self.body = body
 
@@ -145,19 +148,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        statuses = {'busy': 503, 'error': 500}
-        if behaviour in statuses:
-            self._answer(writer, request, statuses[behaviour], b'failed')
+        status = _ERROR_STATUSES.get(behaviour)
+        if status:
+            self._answer(writer, request, status, b'failed')
         elif behaviour == 'foreign':
             self._answer(writer, request, 200, b'foreign', request_id='other')
-        elif behaviour == 'short':
-            self._answer(writer, request, 200, b'short', missing=9)
-            await writer.drain()
-            return False
-        elif behaviour == 'unframed':
-            head = f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
-            seal = f'{_SEAL}: {self.name}.{request.request_id}\r\n\r\n'
-            writer.write((head + seal + 'unframed').encode())
+        elif behaviour in {'short', 'unframed'}:
+            await self._break_off(behaviour, request, writer)
             return False
         elif self.events:
             return await self._stream(request, writer)
@@ -167,6 +164,23 @@
                 self._answer(writer, request, 200, b'again')
         return True
 
+    async def _break_off(
+        self,
+        behaviour: str,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if behaviour == 'short':
+            self._answer(writer, request, 200, b'short', missing=9)
+        else:
+            head = (
+                f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
+                f'{_SEAL}: {self.name}.{request.request_id}\r\n\r\n'
+            )
+            writer.write(head.encode())
+            writer.write(b'unframed')
+        await writer.drain()
+
     async def _work(
         self,
         request: SeenRequest,
--- a/src/anvilhall_standins/platform/store.py
+++ b/src/anvilhall_standins/platform/store.py
@@ -129,8 +129,8 @@
         place = 0
         offset = topic.end
         while place < len(body):
-            (size,) = _LENGTH.unpack_from(body, place)
             start = place + _LENGTH.size
+            size = int.from_bytes(body[place:start])
             place = start + size
             await topic.append(body[start:place])
         self._store.writes += 1
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -5,9 +5,10 @@
 import pytest
 
 from anvilhall.core.messages import Ask, Grant, Refusal, Release
+from anvilhall.core.roster import Seat
 from anvilhall.core.schedules import is_active
 from anvilhall.core.settings import Schedule, Window, decode_node
-from anvilhall.core.shard import Seat, Shard
+from anvilhall.core.shard import Shard
 from anvilhall.core.tree import Tree
 
 WALL = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
--- a/tools/bench/control.py
+++ b/tools/bench/control.py
@@ -20,8 +20,9 @@
     encode_message,
 )
 from anvilhall.core.publication import Publication, SettingsState
+from anvilhall.core.roster import Seat
 from anvilhall.core.settings import decode_node
-from anvilhall.core.shard import Seat, Shard
+from anvilhall.core.shard import Shard
 from anvilhall.core.tree import Tree, hash_key
 from anvilhall_standins.modelrunner import RunnerModel
 from anvilhall_standins.simfleet import SimFleet, attach_chat
