--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -18,6 +18,7 @@
 from anvilhall.core.policies import DEFAULT_POLICY
 from anvilhall.core.settings import Fault, JsonObject, SettingsFaulty
 from anvilhall.exceptions import AnvilhallError, PlatformError, UnknownName
+from anvilhall.local import LocalConfig, split_address
 from anvilhall.logservice import HttpLogClient, LogClient
 from anvilhall.operators import Status
 from anvilhall.outbound import Call, CurlOutbound, Outbound
@@ -112,6 +113,21 @@
         )
 
 
+@run_command.command('check-process')
+@_settings_file
+def check_process(settings_file: pathlib.Path) -> None:
+    """Check SETTINGS_FILE as the settings of one process."""
+    try:
+        config = LocalConfig.from_file(settings_file)
+        for address in config.list_addresses():
+            split_address(address)
+    except SettingsFaulty as error:
+        _print_faults(error.faults, as_json=False)
+        sys.exit(EXIT_FAULTS)
+    role = 'relay' if config.relay else 'chat and services'
+    click.echo(f'no faults: {config.instance}, {role}')
+
+
 @run_command.command('diff')
 @_settings_file
 @_log_option
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -103,6 +103,12 @@
     #: Name of the policy by which owned shards are run.
     policy: str = DEFAULT_POLICY
 
+    def list_addresses(self) -> tuple[str, ...]:
+        """Return all addresses of the settings, each a host and a port."""
+        listen = self.listen
+        addresses = (listen.callers, listen.peers, listen.operators)
+        return (*addresses, self.relay.store) if self.relay else addresses
+
     @classmethod
     def from_file(cls, path: pathlib.Path) -> 'LocalConfig':
         """Read and check a file.
@@ -110,11 +116,14 @@
         :raises SettingsFaulty: with the place of the first fault.
         """
         try:
-            return msgspec.json.decode(path.read_bytes(), type=cls)
+            config = msgspec.json.decode(path.read_bytes(), type=cls)
         except OSError as error:
             raise _report(path, str(error)) from error
         except msgspec.DecodeError as error:
             raise _report(path, str(error)) from error
+        if config.platform is None and config.relay is None:
+            raise _report(path, 'neither `platform` nor `relay` is given')
+        return config
 
 
 def split_address(address: str) -> tuple[str, int]:
