Decide on the largest machines; keep counters where sums were made

Cause: an owner of 56 engines would add up all its requests for each of 200 asks a second, on a machine of half a core if the hash said so; a fault of the program left the caller waiting; a caller that does not read was never given up; a resumed stream might go beyond the length that its first runner stated. Change: counters of backlog, memory and streams by kind; owners among the largest machines, cached until the view changes; the first list of runners is not passed round; answers for faults; a bound on unsent bytes; no length on streams.

--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -28,7 +28,14 @@
     :param region: its region.
     """
 
-    __slots__ = ('_instance', '_live', '_members', '_region')
+    __slots__ = (
+        '_instance',
+        '_live',
+        '_members',
+        '_owners',
+        '_region',
+        '_seats',
+    )
 
     def __init__(self, instance: str, region: str) -> None:
         """Start knowing of this instance only."""
@@ -36,6 +43,9 @@
         self._region = region
         self._live = [instance]
         self._members: dict[str, Member] = {}
+        #: Answers worked out since the last change, by pool.
+        self._owners: dict[str, str | None] = {}
+        self._seats: dict[str, list[Seat]] = {}
 
     @property
     def live(self) -> list[str]:
@@ -45,10 +55,12 @@
     def set_list(self, listed: MemberList) -> None:
         """Take over the platform's list."""
         self._members = {member.name: member for member in listed.members}
+        self._forget()
 
     def set_live(self, live: list[str]) -> None:
         """Take over the view of the own region's live instances."""
         self._live = live
+        self._forget()
 
     def get_address(self, instance: str) -> str | None:
         """Return the link address of an instance, if it is listed."""
@@ -64,6 +76,11 @@
 
         Left out are those of domains whose instances all are out of reach.
         """
+        if pool not in self._seats:
+            self._seats[pool] = self._find_seats(pool)
+        return self._seats[pool]
+
+    def _find_seats(self, pool: str) -> list[Seat]:
         unreached = self._find_unreached()
         return [
             Seat(
@@ -89,9 +106,9 @@
 
         :return: ``None`` if the region has no live runner of the pool.
         """
-        if not any(not seat.leaving for seat in self.list_seats(pool)):
-            return None
-        return rank_owners(self._live, _name_shard(pool, self._region))[0]
+        if pool not in self._owners:
+            self._owners[pool] = self._choose_owner(pool)
+        return self._owners[pool]
 
     def list_foreign_owners(self, pool: str) -> list[str]:
         """Return the presumed owners in other regions, by rank."""
@@ -106,6 +123,23 @@
             owners.extend(rank_owners(entries, _name_shard(pool, region))[:2])
         return owners
 
+    def _choose_owner(self, pool: str) -> str | None:
+        if not any(not seat.leaving for seat in self.list_seats(pool)):
+            return None
+        capacities = {name: self._get_capacity(name) for name in self._live}
+        largest = max(capacities.values())
+        # An owner decides for all: it stands on one of the largest machines.
+        able = [name for name in self._live if capacities[name] >= largest]
+        return rank_owners(able, _name_shard(pool, self._region))[0]
+
+    def _get_capacity(self, instance: str) -> float:
+        member = self._members.get(instance)
+        return member.capacity if member else 0.0
+
+    def _forget(self) -> None:
+        self._owners.clear()
+        self._seats.clear()
+
     def _find_unreached(self) -> set[str]:
         """Return domains with listed instances of which none is live."""
         listed: set[str] = set()
--- a/src/anvilhall/core/members.py
+++ b/src/anvilhall/core/members.py
@@ -16,6 +16,8 @@
     region: str = ''
     #: Requests that an upstream runs at once; 0: as its pool's settings say.
     slots: int = 0
+    #: Processor share of an instance, in cores; 0: unknown.
+    capacity: float = 0.0
     #: Unix milliseconds of an upstream's start; 0: unknown.
     born: int = 0
 
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -93,13 +93,16 @@
     """Slot account, prefix beliefs and health of one runner."""
 
     __slots__ = (
+        '_backlog_tokens',
         '_cached_tokens',
         '_calibration',
+        '_held_tokens',
         '_long_gaps',
         '_policy',
         '_pool',
         '_prefill_flow',
         '_prefixes',
+        '_streams',
         'address',
         'born',
         'health',
@@ -134,6 +137,14 @@
             collections.OrderedDict()
         )
         self._cached_tokens = 0
+        #: Granted prompt tokens that are still to be read.
+        self._backlog_tokens = 0
+        #: Tokens that the granted requests may come to hold.
+        self._held_tokens = 0
+        #: Granted requests by their order and gap target.
+        self._streams: collections.Counter[tuple[tuple[int, int], float]] = (
+            collections.Counter()
+        )
         self._prefill_flow = Flow(_FLOW_S)
         self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
 
@@ -207,7 +218,7 @@
             work.uncached_tokens = ask.prompt_tokens - cached
         self._prefill_flow.add(work.uncached_tokens, now)
         self._spend_gaps(work, now)
-        self.works[work.request_id] = work
+        self.adopt_work(work)
         if self.suspect:
             self.health.probing = work.request_id
         if self._policy.use_prefixes:
@@ -217,13 +228,26 @@
         """Free the slot of a request."""
         if self.health.probing == request_id:
             self.health.probing = ''
-        return self.works.pop(request_id, None)
+        work = self.works.pop(request_id, None)
+        if work:
+            self._end_prefill(work)
+            self._held_tokens -= work.context_tokens
+            self._streams[work.order, work.aims.gap_s] -= 1
+        return work
+
+    def adopt_work(self, work: Work) -> None:
+        """Count a request that runs here."""
+        self.works[work.request_id] = work
+        if not work.first_token_seen:
+            self._backlog_tokens += work.uncached_tokens
+        self._held_tokens += work.context_tokens
+        self._streams[work.order, work.aims.gap_s] += 1
 
     def note_first_token(self, work: Work, first_token_s: float) -> None:
         """Compare the first token's time with its prediction."""
         if work.first_token_seen:
             return
-        work.first_token_seen = True
+        self._end_prefill(work)
         if self._policy.calibrate:
             self._calibration.note_excess(first_token_s - work.predicted_s)
         expected_s = work.predicted_s + self._calibration.base_s
@@ -255,36 +279,39 @@
         uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
         return uncached / self._pool.prefill_tokens_per_s
 
-    def _count_backlog_tokens(self) -> int:
-        """Return the granted prompt tokens that are still to be read."""
-        return sum(
-            work.uncached_tokens
-            for work in self.works.values()
-            if not work.first_token_seen
-        )
+    def _end_prefill(self, work: Work) -> None:
+        if not work.first_token_seen:
+            work.first_token_seen = True
+            self._backlog_tokens -= work.uncached_tokens
 
     def _predict_backlog_s(self) -> float:
-        return self._count_backlog_tokens() / self._pool.prefill_tokens_per_s
+        return self._backlog_tokens / self._pool.prefill_tokens_per_s
 
     def _predict_gap_s(
         self,
-        backlog_tokens: int,
-        streams: int,
-        flow_tokens: float,
+        more_tokens: int,
+        more_streams: int,
+        now: float,
     ) -> float:
         """Return the gap between events to expect.
 
         An event holds several tokens. A chunk of the backlog is read between
         each token and the next, and what comes in steadily adds its share.
 
-        :param flow_tokens: prompt tokens granted within the last second.
+        :param more_tokens: prompt tokens to read besides the backlog.
+        :param more_streams: streams besides those that run.
         """
         pool = self._pool
+        backlog_tokens = self._backlog_tokens + more_tokens
+        flow_tokens = self._prefill_flow.measure(now) + more_tokens
         chunk = min(backlog_tokens, pool.prefill_chunk_tokens)
-        chunks = math.ceil(backlog_tokens / pool.prefill_chunk_tokens)
         prefill_s = chunk / pool.prefill_tokens_per_s
-        slow_steps = min(chunks, pool.event_tokens)
+        slow_steps = min(
+            math.ceil(backlog_tokens / pool.prefill_chunk_tokens),
+            pool.event_tokens,
+        )
         duty = min(flow_tokens / pool.prefill_tokens_per_s, _DUTY_LIMIT)
+        streams = len(self.works) + more_streams
         step_s = self._predict_step_s(streams) / (1 - duty)
         gap_s = pool.event_tokens * step_s + slow_steps * prefill_s
         return gap_s * self._relative_slowdown
@@ -300,21 +327,15 @@
         :return: streams of higher order, other ones, and its own, which what
             runs beside it makes late.
         """
-        backlog = self._count_backlog_tokens()
         uncached = ask.prompt_tokens - self.count_cached_tokens(ask)
-        flow = self._prefill_flow.measure(now)
-        before_s = self._predict_gap_s(backlog, len(self.works), flow)
-        after_s = self._predict_gap_s(
-            backlog + uncached,
-            len(self.works) + 1,
-            flow + uncached,
-        )
+        before_s = self._predict_gap_s(0, 0, now)
+        after_s = self._predict_gap_s(uncached, 1, now)
         higher = 0.0
         others = 0.0
-        for other in self.works.values():
-            added = _weigh_gap(after_s, other.aims.gap_s)
-            added -= _weigh_gap(before_s, other.aims.gap_s)
-            if other.order < work.order:
+        for (order, target_s), count in self._streams.items():
+            before = _weigh_gap(before_s, target_s)
+            added = count * (_weigh_gap(after_s, target_s) - before)
+            if order < work.order:
                 higher += added
             else:
                 others += added
@@ -324,7 +345,7 @@
         limit = self._pool.memory_tokens
         if not limit:
             return True
-        held = sum(other.context_tokens for other in self.works.values())
+        held = self._held_tokens
         return not held or held + work.context_tokens <= limit
 
     def predict_collision_s(self, ask: Ask) -> float:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -226,7 +226,7 @@
         settings = self._tree.classes.get(held.class_name)
         work.order = _get_order(settings) if settings else work.order
         work.predicted_s = 1.0
-        runner.works[held.request_id] = work
+        runner.adopt_work(work)
         self._senders[held.request_id] = sender
         self._admission.adopt(held.account, held.class_name)
 
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -289,6 +289,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class UnusableEntry(PlatformError):
+    """An entry of the registry names no runner or instance to use."""
+
+    code = 'unusable_entry'
+    outcome = Outcome.NOT_RUN
+
+
 class SettingsError(AnvilhallError):
     """Settings are not usable."""
 
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -15,11 +15,11 @@
     PlatformError,
     RecordsExpired,
     SettingsError,
+    UnusableEntry,
 )
 from anvilhall.logs import note_change
 from anvilhall.metrics import Metrics
 from anvilhall.platform.registration import (
-    UnusableEntry,
     decode_instance,
     decode_runner,
     encode_instance,
@@ -236,19 +236,28 @@
             names = {listed.key for listed in page.records}
             self._view.keep_only(names, page.next_offset, now)
         self._view.expire(now)
-        self._tell(before, 'store')
+        # The first list is no news: each instance reads it by itself.
+        self._tell(before, 'store', spread=not complete)
 
     def _expire(self) -> None:
         before = self._view.members
         self._view.expire(self._clock.monotonic())
         self._tell(before, 'store')
 
-    def _tell(self, before: tuple[Member, ...], source: str) -> None:
+    def _tell(
+        self,
+        before: tuple[Member, ...],
+        source: str,
+        *,
+        spread: bool = True,
+    ) -> None:
         after = self._view.members
         if after == before:
             return
         _note_runner_changes(before, after, source)
         self._on_change(after)
+        if not spread:
+            return
         names = {member.name for member in after}
         for member in set(before) ^ set(after):
             gone = member.name not in names
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -104,6 +104,7 @@
                 address=config.listen.peers,
                 failure_domain=config.failure_domain,
                 region=config.region,
+                capacity=config.cpu_share * config.cpu_speed,
             ),
             store,
             clock,
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -96,6 +96,9 @@
     #: configured.
     platform: Platform | None = None
     relay: RelayConfig | None = None
+    #: Processor of the machine: share of a core, and its speed.
+    cpu_share: float = 0.0
+    cpu_speed: float = 1.0
     #: Shared secret of all instances.
     peer_key: str
     tls: Tls | None = None
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -4,7 +4,7 @@
 
 from anvilhall.core.members import Member
 from anvilhall.core.settings import SettingsFaulty
-from anvilhall.exceptions import PlatformError
+from anvilhall.exceptions import UnusableEntry
 from anvilhall.local import split_address
 from anvilhall.platform.store import KeyedRecord
 
@@ -31,12 +31,8 @@
     address: str
     failure_domain: str
     region: str
-
-
-class UnusableEntry(PlatformError):
-    """An entry names no runner or instance to use."""
-
-    code = 'unusable_entry'
+    #: In cores.
+    capacity: float = 0.0
 
 
 def decode_runner(record: KeyedRecord, region: str) -> Member:
@@ -78,10 +74,16 @@
         address=entry.address,
         failure_domain=entry.failure_domain,
         region=entry.region,
+        capacity=entry.capacity,
     )
 
 
 def encode_instance(member: Member) -> KeyedRecord:
     """Encode the entry of an instance of this system."""
-    entry = _Instance(member.address, member.failure_domain, member.region)
+    entry = _Instance(
+        member.address,
+        member.failure_domain,
+        member.region,
+        member.capacity,
+    )
     return KeyedRecord(member.name, msgspec.json.encode(entry))
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -26,6 +26,7 @@
     BodyTooLarge,
     CallerGone,
     MalformedRequest,
+    NoRunner,
     NotReady,
     Outcome,
     ShuttingDown,
@@ -136,7 +137,10 @@
         if not route.public:
             self._identify(job, head, settings)
         job.pool_name = route.choose_pool(head.request_id)
-        job.pool = settings.tree.pools[job.pool_name]
+        pool = settings.tree.pools.get(job.pool_name)
+        if pool is None:
+            raise NoRunner(f'no pool {job.pool_name}', _NOT_READY_RETRY_S)
+        job.pool = pool
         limits = [route.timeout_s]
         if head.deadline_s is not None:
             limits.append(head.deadline_s)
@@ -176,6 +180,8 @@
         self._left = False
         self._host = ''
         self._path = ''
+        #: Bytes written since everything had last reached the caller's side.
+        self._unsent = 0
         self._request_id = ''
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
@@ -253,7 +259,18 @@
     def write(self, chunk: bytes) -> None:
         """Send a part of the body."""
         self._front.services.metrics.bytes_relayed.inc(len(chunk))
-        self._connection.write(chunk)
+        self._unsent += len(chunk)
+        if self._unsent > _UNSENT_LIMIT_BYTES:
+            # The caller does not read; nothing more is kept for it.
+            self._connection.close()
+            self.on_connection_close()
+            return
+        flushed = self._connection.write(chunk)
+        flushed.add_done_callback(self._note_flushed)
+
+    def _note_flushed(self, flushed: 'asyncio.Future[None]') -> None:
+        if not flushed.cancelled() and flushed.exception() is None:
+            self._unsent = 0
 
     async def _run(self, job: RelayJob) -> None:
         metrics = self._front.services.metrics
@@ -269,6 +286,12 @@
         except asyncio.CancelledError:
             error = CallerGone()
             metrics.uncertain.labels(error.code, job.route.name).inc()
+        except Exception as fault:  # noqa: BLE001
+            # A fault of this program must not leave the caller waiting.
+            kind = type(fault).__name__
+            metrics.internal_errors.labels(kind).inc()
+            error = AnvilhallError(f'{kind}: {fault}')
+            self._fail(error, relay)
         else:
             self._connection.finish()
         finally:
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -145,6 +145,9 @@
             return
         self.begun = True
         passed = self._services.dialect.pass_answer(headers)
+        if self._job.route.streaming:
+            # Another runner may go on with the stream, at another length.
+            passed.pop('Content-Length', None)
         self._sink.begin(status, passed)
 
     def take_chunk(self, chunk: bytes) -> None:
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -68,6 +68,8 @@
         self.work_s = 0.0
         #: Event after which a stream that began before it is cut.
         self.cut_after = 0
+        #: Smallest size of a plain answer's body.
+        self.body_bytes = 0
         self.address = ''
         self._server: asyncio.Server | None = None
 
@@ -197,7 +199,8 @@
         return bool(gone)
 
     def _build_body(self, request: SeenRequest) -> bytes:
-        return f'{self.name} ran {request.request_id}'.encode()
+        body = f'{self.name} ran {request.request_id}'.encode()
+        return body.ljust(self.body_bytes)
 
     def _answer(
         self,
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -22,6 +22,8 @@
     'listen.ready|json': '"10.0.0.1:8749"',
     'ip': '10.0.0.1',
     'port_range.0': '7200',
+    'limits.cpu_share|json': '0.5',
+    'limits.cores|json': '2',
     'provider.address|json': '"10.0.0.9:8742"',
     'bounds.retry_budget_ratio|json': '0.2',
     'bounds.retry_slack|json': '54',
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from anvilhall.exceptions import UpstreamCut
+from anvilhall.grants import GrantTicket
 from anvilhall.outbound import Transfer
 from anvilhall_standins.serving import Fault
 from tests.site import (
@@ -443,3 +444,55 @@
                 assert reply.status == 200
 
     asyncio.run(scenario())
+
+
+def test_fault_of_the_program_leaves_no_caller_waiting(monkeypatch):
+    async def fail(*_):
+        raise RuntimeError('a fault')
+
+    async def scenario():
+        async with run_site() as site:
+            monkeypatch.setattr(GrantTicket, 'wait', fail)
+            reply = await site.fetch('/lookup/1')
+            assert reply.status == 500
+
+    asyncio.run(scenario())
+
+
+def test_settings_that_contradict_themselves_leave_the_former_in_force():
+    async def scenario():
+        async with run_site() as site:
+            odd = make_route('odd', service='nobody')
+            gateway = site.gateways['g1']
+            refused = b'publications_total{code="settings_error"} 1.0'
+            await site.publish(make_manifest(2, (odd,)))
+            await wait_until(lambda: refused in gateway.metrics.render())
+            assert (await site.fetch('/lookup/1')).status == 200
+            await site.publish(make_manifest(3, ROUTES[:1]))
+            await wait_until(lambda: gateway.describe().settings_version == 3)
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_does_not_read_is_given_up():
+    async def scenario():
+        async with run_site() as site:
+            runner = site.runners['desk-0']
+            runner.body_bytes = 64 * 1024 * 1024
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1',
+                site.ports['g1'],
+                limit=1024,
+            )
+            writer.write(
+                b'GET /lookup/1 HTTP/1.1\r\nHost: desk.example\r\n'
+                b'Anvilhall-Request-Id: slow\r\n'
+                b'Anvilhall-Credential: key-of-ann\r\n\r\n',
+            )
+            front = site.gateways['g1'].front
+            await wait_until(lambda: runner.runs)
+            await wait_until(lambda: not front.open_requests)
+            assert reader is not None
+            writer.close()
+
+    asyncio.run(scenario())
