Let instances introduce themselves, and each other by news

Change: hellos and news carry how an instance is reached; entries stay in the store. Test: test_directory (introductions).

--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -30,6 +30,8 @@
 
     __slots__ = (
         '_instance',
+        '_introduced',
+        '_listed',
         '_live',
         '_members',
         '_owners',
@@ -43,6 +45,11 @@
         self._region = region
         self._live = [instance]
         self._members: dict[str, Member] = {}
+        #: Members of the platform's list.
+        self._listed: dict[str, Member] = {}
+        #: Instances that said themselves how they are reached, or that others
+        #: told of; they go before an older list.
+        self._introduced: dict[str, Member] = {}
         #: Answers worked out since the last change, by pool.
         self._owners: dict[str, str | None] = {}
         self._seats: dict[str, list[Seat]] = {}
@@ -54,9 +61,25 @@
 
     def set_list(self, listed: MemberList) -> None:
         """Take over the platform's list."""
-        self._members = {member.name: member for member in listed.members}
+        before = self._listed
+        self._listed = {member.name: member for member in listed.members}
+        for name, member in self._listed.items():
+            if before.get(name) != member:
+                self._introduced.pop(name, None)
+        self._members = {**self._listed, **self._introduced}
         self._forget()
 
+    def introduce(self, member: Member) -> None:
+        """Take in how an instance is reached."""
+        if self._members.get(member.name) != member:
+            self._introduced[member.name] = member
+            self._members[member.name] = member
+            self._forget()
+
+    def find_member(self, name: str) -> Member | None:
+        """Return how an instance or an upstream is reached, if it is known."""
+        return self._members.get(name)
+
     def set_live(self, live: list[str]) -> None:
         """Take over the view of the own region's live instances."""
         self._live = live
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -141,6 +141,10 @@
     proof: str
     #: Random text that the other side's proof must cover.
     nonce: str
+    #: Address of the sender's own links; empty if it does not say.
+    address: str = ''
+    #: Processor share of the sender's machine, in cores; 0: unknown.
+    capacity: float = 0.0
 
 
 class Heartbeat(_Message, frozen=True):
@@ -159,6 +163,8 @@
     incarnation: int
     #: One of the values of :class:`anvilhall.core.membership.Status`.
     status: str
+    #: How the instance is reached, if the sender knows.
+    member: Member | None = None
 
 
 class RunnerNews(_Message, frozen=True):
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -305,17 +305,6 @@
         self._on_change = on_change
         self.members: tuple[Member, ...] = (own,)
 
-    async def withdraw(self) -> None:
-        """Remove this instance's entry, as far as the store is there."""
-        try:
-            await self._store.put(
-                self._topic,
-                KeyedRecord(self._own.name, None),
-            )
-        except PlatformError as error:
-            # Links tell the others of the end; the entry does no harm.
-            note_change('entry_left_behind', reason=error.reason)
-
     async def _follow(self) -> None:
         await self._announce()
         started_at = self._clock.monotonic()
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from anvilhall import defaults
 from anvilhall.clock import Clock
 from anvilhall.core.broker import Broker
 from anvilhall.core.directory import Directory
 from anvilhall.core.fallback import Patience
-from anvilhall.core.members import MemberList
+from anvilhall.core.members import Member, MemberList
 from anvilhall.core.membership import Membership, Watch
 from anvilhall.core.messages import (
     Ask,
@@ -221,6 +223,16 @@
     def _note_up(self, hello: Hello) -> None:
         name = hello.instance
         self._regions[name] = hello.region
+        if hello.address:
+            self._directory.introduce(
+                Member(
+                    name=name,
+                    address=hello.address,
+                    failure_domain=hello.failure_domain,
+                    region=hello.region,
+                    capacity=hello.capacity,
+                ),
+            )
         self._gone_at.pop(name, None)
         if hello.region == self._config.region:
             now = self._clock.monotonic()
@@ -262,6 +274,8 @@
             self._stale = True
 
     def _take_news(self, news: News) -> None:
+        if news.member and news.instance != self._config.instance:
+            self._directory.introduce(news.member)
         fresh = self._membership.note_news(news, self._clock.monotonic())
         if fresh:
             self._spread(fresh)
@@ -269,7 +283,8 @@
 
     def _spread(self, news: Iterable[News]) -> None:
         for piece in news:
-            self.tell_linked(piece)
+            member = piece.member or self._directory.find_member(piece.instance)
+            self.tell_linked(msgspec.structs.replace(piece, member=member))
 
     def _follow_view(self) -> None:
         live = self._membership.live
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -104,7 +104,7 @@
                 address=config.listen.peers,
                 failure_domain=config.failure_domain,
                 region=config.region,
-                capacity=config.cpu_share * config.cpu_speed,
+                capacity=config.capacity,
             ),
             store,
             clock,
@@ -195,7 +195,6 @@
         self._server.close_after_answers()
         self._fleet.leave()
         relay = self._relay_config
-        withdrawal = asyncio.ensure_future(self._instances.withdraw())
         await asyncio.sleep(relay.linger_s)
         self._server.stop()
         try:
@@ -203,7 +202,6 @@
                 await self._wait_drained()
         except TimeoutError:
             note_change('drain_timeout', open=self.front.open_requests)
-        withdrawal.cancel()
         await self._server.close()
         self.close()
         note_change('stopped', instance=self._config.instance)
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -381,6 +381,8 @@
             protocol=PROTOCOL_VERSION,
             proof='',
             nonce=secrets.token_hex(_NONCE_BYTES),
+            address=self._config.listen.peers,
+            capacity=self._config.capacity,
         )
         proof = _prove(self._config.peer_key, nonce, unsigned)
         return msgspec.structs.replace(unsigned, proof=proof)
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -106,6 +106,11 @@
     #: Name of the policy by which owned shards are run.
     policy: str = DEFAULT_POLICY
 
+    @property
+    def capacity(self) -> float:
+        """Processor share of the machine, in cores; 0: unknown."""
+        return self.cpu_share * self.cpu_speed
+
     def list_addresses(self) -> tuple[str, ...]:
         """Return all addresses of the settings, each a host and a port."""
         listen = self.listen
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -37,3 +37,24 @@
     leaving = Member('r1', 'a:1', 'd1', pool='llm', leaving=True, region='r')
     directory.set_list(MemberList(members=(leaving,)))
     assert directory.find_owner('llm') is None
+
+
+def test_instance_that_introduces_itself_can_be_reached_before_it_is_listed(
+    directory,
+):
+    late = Member('late', 'x:9', 'd1', region='r', capacity=2.0)
+    directory.introduce(late)
+    assert directory.get_address('late') == 'x:9'
+    assert 'late' in directory.list_region_instances()
+
+
+def test_introduction_goes_before_an_older_list(directory):
+    moved = Member('small-1', 'new:1', 'd1', region='r', capacity=0.5)
+    old = Member('small-1', 's:1', 'd1', region='r', capacity=0.5)
+    directory.introduce(moved)
+    assert directory.get_address('small-1') == 'new:1'
+    directory.set_list(MemberList(members=(old,)))
+    assert directory.get_address('small-1') == 'new:1'
+    again = Member('small-1', 'newer:1', 'd1', region='r', capacity=0.5)
+    directory.set_list(MemberList(members=(again,)))
+    assert directory.get_address('small-1') == 'newer:1'
