Count links without a label that they do not have

Cause: an edit gave the counter of links a label too many; every link broke off in the moment in which it came up, so that each instance decided for itself. No test saw it, since the list of instances alone makes them live. Change: the label is gone. Test: test_instance_that_is_started_again_is_linked_again fails without it, and test_two_instances_share_the_owner_of_a_pool now waits for links.

--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -91,7 +91,6 @@
         )
         self.links_opened = self._count(
             'links_opened',
-            'log_lines_dropped',
             'Links between instances that came up.',
             'direction',
         )
--- a/tests/site.py
+++ b/tests/site.py
@@ -77,6 +77,7 @@
     def __init__(self):
         self.store = Store()
         self.client = CurlOutbound()
+        self.configs = {}
         self.gateways = {}
         self.ports = {}
         self.runners = {}
@@ -131,9 +132,15 @@
             policy='relay',
             relay=RelayConfig(store=f'127.0.0.1:{self.store_port}', **fields),
         )
+        self.configs[name] = config
+        self.ports[name] = ports[0]
+        return await self.restart_gateway(name)
+
+    async def restart_gateway(self, name):
+        """Start a gateway with the settings that it had."""
+        config = self.configs[name]
         gateway = Gateway.from_config(config, config.relay, SystemClock())
         self.gateways[name] = gateway
-        self.ports[name] = ports[0]
         await gateway.start()
         return gateway
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -434,6 +434,8 @@
             await wait_until(
                 lambda: len(site.gateways['g1'].describe().live) == 2,
             )
+            for each in site.gateways.values():
+                await wait_until(lambda each=each: each.describe().linked)
             owned = [
                 {entry.pool for entry in each.describe().owned}
                 for each in site.gateways.values()
@@ -496,3 +498,21 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_instance_that_is_started_again_is_linked_again():
+    async def scenario():
+        async with run_site() as site:
+            first = site.gateways['g1']
+            second = await site.add_gateway('g2')
+            await wait_until(lambda: first.describe().linked)
+            await second.stop()
+            await wait_until(lambda: not first.describe().linked)
+            again = await site.restart_gateway('g2')
+            await wait_until(lambda: first.describe().linked)
+            await wait_until(lambda: again.describe().linked)
+            await wait_until(lambda: len(first.describe().live) == 2)
+            grants = first.metrics.render()
+            assert b'anvilhall_links_opened_total{direction="' in grants
+
+    asyncio.run(scenario())
