Let a leaving instance not take its goodbye back

Ruled out: dispatch, since asks of the other pool were granted within 10 ms. Change: an instance that leaves refutes nothing. Test: test_leaving_instance_does_not_take_its_own_goodbye_back fails without it.

--- a/src/anvilhall/core/membership.py
+++ b/src/anvilhall/core/membership.py
@@ -65,7 +65,7 @@
     :param incarnation: rises with each start; also raised to refute news.
     """
 
-    __slots__ = ('_peers', '_watch', 'incarnation', 'name')
+    __slots__ = ('_leaving', '_peers', '_watch', 'incarnation', 'name')
 
     def __init__(self, name: str, incarnation: int, watch: Watch) -> None:
         """Start alone."""
@@ -73,6 +73,7 @@
         self.incarnation = incarnation
         self._watch = watch
         self._peers: dict[str, _Peer] = {}
+        self._leaving = False
 
     @property
     def live(self) -> list[str]:
@@ -164,6 +165,7 @@
 
     def leave(self) -> News:
         """Return the news that this instance is shutting down."""
+        self._leaving = True
         return News(
             instance=self.name,
             incarnation=self.incarnation,
@@ -171,7 +173,8 @@
         )
 
     def _refute(self, news: News) -> list[News]:
-        if news.incarnation < self.incarnation:
+        if self._leaving or news.incarnation < self.incarnation:
+            # What is said of a leaving instance is true, or soon will be.
             return []
         if news.status == Status.ALIVE.value:
             return []
