Ask who does not own a shard once only, and say goodbye to newcomers

Ruled out: settling of new owners (0.15 s). Change: a leaving instance says so on each new link; who answers that it does not own a shard is passed by until it is heard of, and the relay decides. Test: test_who_does_not_own_the_shard_is_asked_once.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -344,7 +344,9 @@
         if refusal.code in _SPILL_CODES and self._spill(pending):
             return
         if refusal.code == NOT_OWNER:
+            # The views differ for a moment; others may still name the sender.
             pending.foreign = None
+            self._fallback.note_disowned(sender)
             return
         self._refuse(pending, _build_error(refusal))
 
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -66,6 +66,11 @@
         """Pass an owner by until it is heard of."""
         self._mute.add(owner)
 
+    def note_disowned(self, owner: str) -> None:
+        """Pass by who says that it does not own the shard, if in a hurry."""
+        if self._patience.answer_s is not None:
+            self._mute.add(owner)
+
     def note_heard(self, instance: str) -> None:
         """Note a message from an instance."""
         self._mute.discard(instance)
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -239,6 +239,9 @@
             known = self._membership.note_life(name, hello.incarnation, now)
             self._spread(known)
             self._stale = True
+        if self._leaving:
+            # Who was started just now has not heard of it.
+            self._spread([self._membership.leave()])
         for pool in self._tree.pools:
             self.broker.report_inventory(pool)
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -6,7 +6,8 @@
 from anvilhall.core.directory import Directory
 from anvilhall.core.fallback import Patience
 from anvilhall.core.members import Member, MemberList
-from anvilhall.core.messages import Ask, Grant, Queued, Release
+from anvilhall.core.messages import Ask, Grant, Queued, Refusal, Release
+from anvilhall.core.owner import NOT_OWNER
 
 PATIENCE = Patience(answer_s=0.06, settling_s=0.0)
 
@@ -111,6 +112,15 @@
     assert asking.list_asks() == ['q1', 'q2']
 
 
+def test_who_does_not_own_the_shard_is_asked_once(asking):
+    ticket = asking.ask()
+    refusal = Refusal('q1', NOT_OWNER, 'another one owns it')
+    asking.broker.take_answer(asking.owner, refusal)
+    asking.wait(0.01)
+    assert ticket.grant is not None
+    assert asking.list_asks() == ['q1']
+
+
 def test_queued_request_is_left_with_its_owner(asking):
     ticket = asking.ask()
     asking.broker.take_answer(asking.owner, Queued('q1'))
