Price reading shared parts again when a runner is chosen

The placement counted only the time of the request's own prefill.

Change: 30 us a token of a shared part that the runner does not have cached, in the placement by length.

--- a/src/anvilhall/core/placements.py
+++ b/src/anvilhall/core/placements.py
@@ -22,6 +22,9 @@
 _LATE_START_S = 0.5
 #: Share of the objective up to which a predicted first token is in time.
 _SAFE_OBJECTIVE_SHARE = 0.5
+#: Cost of reading a token of a shared part again, in the same unit: it takes
+#: capacity from the requests behind it, besides the time of this request.
+_REREAD_S = 30e-6
 
 
 class Placement(Protocol):
@@ -89,8 +92,9 @@
     """Keep long prompts away from short ones, whatever their tiers.
 
     The cost is the predicted time to the first token, with a price for a late
-    one, and a price for each stream that the request is expected to make late
-    by the gaps between its events, its own included.
+    one, a price for each stream that the request is expected to make late by
+    the gaps between its events, its own included, and one for each token of a
+    shared part that the runner does not have cached.
     """
     predicted_s = runner.predict_first_token_s(ask)
     higher, others, own = runner.weigh_gaps(ask, work, now)
@@ -98,4 +102,6 @@
     lateness = predicted_s / work.aims.first_s - _SAFE_OBJECTIVE_SHARE
     risk = min(1.0, max(0.0, lateness / (1 - _SAFE_OBJECTIVE_SHARE)))
     end = 1 - rank if work.long else rank
-    return predicted_s + harm_s + _LATE_START_S * risk + _PACKING_S * end
+    reread_s = _REREAD_S * runner.count_missing_tokens(ask)
+    late_s = _LATE_START_S * risk
+    return predicted_s + harm_s + late_s + reread_s + _PACKING_S * end
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -202,6 +202,11 @@
             cached += tokens
         return min(cached, ask.prompt_tokens)
 
+    def count_missing_tokens(self, ask: Ask) -> int:
+        """Return how much of the prompt's shared parts is to be read."""
+        shared = sum(tokens for _, tokens in ask.parts)
+        return max(0, shared - self.count_cached_tokens(ask))
+
     def predict_first_token_s(self, ask: Ask) -> float:
         """Predict the time to the first token of a further request."""
         prefill_s = self._predict_backlog_s() + self.predict_prefill_s(ask)
