Read the registry once for each failure domain; find each other again after a cut

Ruled out: links that open and close (none after the start).

Reading the code for this found two faults, each with a test that failed first: instances that removed each other during a cut never dialled each other again, and an instance that moved up on the ring was judged by the time before it was watched.

Change: one instance of each failure domain, on one of its largest machines, reads the registry and tells the others (changes, and a digest of its view after each read); who hears nothing for 1.6 s reads by itself. Heartbeats go to the three watchers; other links get each fourth. Rounds by time only while requests wait. Lost instances that are listed are dialled in turn; who wrongly counts as dead is doubted and speaks up.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -122,6 +122,7 @@
         '_pending',
         '_running',
         '_send',
+        'on_wait',
         'owner',
     )
 
@@ -145,6 +146,8 @@
         self._owners: dict[str, str | None] = {}
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
+        #: Called when a request begins to wait for an answer.
+        self.on_wait: Callable[[], None] = _ignore
         #: The shards that this instance owns; its own answers come directly.
         self.owner = Owner(
             clock,
@@ -164,11 +167,18 @@
         """Number of granted requests."""
         return len(self._running)
 
+    @property
+    def busy(self) -> bool:
+        """Whether requests wait, so that time alone may bring work."""
+        return bool(self._pending) or self.owner.has_waiting
+
     def ask(self, ask: Ask, ticket: Ticket) -> None:
         """Ask for a grant; the ticket gets exactly one answer."""
         pending = _Pending(ask, ticket, self._clock.monotonic())
         self._pending[ask.request_id] = pending
         self._place(pending)
+        if ask.request_id in self._pending:
+            self.on_wait()
 
     def withdraw(self, request_id: str) -> None:
         """Give up an ask; its ticket gets nothing more."""
@@ -390,7 +400,9 @@
         """Bind requests to the present owners of their shards."""
         for running in self._running.values():
             owner = self._directory.find_owner(running.ask.pool)
-            if owner and owner != running.target and self._is_home(running):
+            if owner in {None, running.target}:
+                continue
+            if _is_home(running, self._directory):
                 self._report(running.target, _build_release(running.ask))
                 running.target = owner
         for pending in self._pending.values():
@@ -399,10 +411,6 @@
                 self._tell_withdrawn(pending)
                 pending.detach()
 
-    def _is_home(self, running: _Running) -> bool:
-        seats = self._directory.list_seats(running.ask.pool)
-        return any(seat.name == running.grant.runner for seat in seats)
-
     def _route_answer(self, instance: str, message: OwnerMessage) -> None:
         if instance == self._name:
             self.take_answer(self._name, message)
@@ -413,6 +421,16 @@
         self.take_answer(_FALLBACK, message)
 
 
+def _is_home(running: _Running, directory: Directory) -> bool:
+    """Return whether a request runs on a runner of the own region."""
+    seats = directory.list_seats(running.ask.pool)
+    return any(seat.name == running.grant.runner for seat in seats)
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
 _REFUSALS = {
     error.code: error
     for error in list_errors()
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -35,6 +35,7 @@
         '_live',
         '_members',
         '_owners',
+        '_readers',
         '_region',
         '_seats',
     )
@@ -53,6 +54,7 @@
         #: Answers worked out since the last change, by pool.
         self._owners: dict[str, str | None] = {}
         self._seats: dict[str, list[Seat]] = {}
+        self._readers: dict[str, str] | None = None
 
     @property
     def live(self) -> list[str]:
@@ -133,6 +135,39 @@
             self._owners[pool] = self._choose_owner(pool)
         return self._owners[pool]
 
+    def list_readers(self) -> dict[str, str]:
+        """Return who reads the registry for each failure domain.
+
+        A domain that is cut off keeps a reader of its own.
+
+        :return: live instances of the own region by failure domain.
+        """
+        if self._readers is None:
+            domains: dict[str, list[str]] = {}
+            for name in self._live:
+                member = self._members.get(name)
+                if member:
+                    domains.setdefault(member.failure_domain, []).append(name)
+            self._readers = {
+                domain: self._choose_largest(names, f'registry/{domain}')
+                for domain, names in domains.items()
+            }
+        return self._readers
+
+    def list_reader_links(self, domain: str) -> set[str]:
+        """Return the readers of the registry that this instance talks to.
+
+        Each instance has a link to its own domain's reader, and the readers
+        have links to each other.
+
+        :param domain: failure domain of this instance.
+        """
+        readers = self.list_readers()
+        names = set(readers.values())
+        if self._instance not in names:
+            names &= {readers.get(domain, '')}
+        return names - {self._instance}
+
     def list_foreign_owners(self, pool: str) -> list[str]:
         """Return the presumed owners in other regions, by rank."""
         regions = {
@@ -149,11 +184,18 @@
     def _choose_owner(self, pool: str) -> str | None:
         if not any(not seat.leaving for seat in self.list_seats(pool)):
             return None
-        capacities = {name: self._get_capacity(name) for name in self._live}
+        shard = _name_shard(pool, self._region)
+        return self._choose_largest(self._live, shard)
+
+    def _choose_largest(self, names: list[str], shard: str) -> str:
+        """Return who does the work of a shard for others.
+
+        It stands on one of the largest machines.
+        """
+        capacities = {name: self._get_capacity(name) for name in names}
         largest = max(capacities.values())
-        # An owner decides for all: it stands on one of the largest machines.
-        able = [name for name in self._live if capacities[name] >= largest]
-        return rank_owners(able, _name_shard(pool, self._region))[0]
+        able = [name for name in names if capacities[name] >= largest]
+        return rank_owners(able, shard)[0]
 
     def _get_capacity(self, instance: str) -> float:
         member = self._members.get(instance)
@@ -162,6 +204,7 @@
     def _forget(self) -> None:
         self._owners.clear()
         self._seats.clear()
+        self._readers = None
 
     def _find_unreached(self) -> set[str]:
         """Return domains with listed instances of which none is live."""
--- a/src/anvilhall/core/membership.py
+++ b/src/anvilhall/core/membership.py
@@ -1,9 +1,9 @@
 """Which instances of a region are alive, as one of them sees it.
 
-Each instance watches a few others over links: those that follow it on a ring
-of names at distances that are powers of two. So the cost for each instance
-grows with the logarithm of the region's size, and news reaches all in as many
-steps. The platform's lagging list only introduces instances.
+Each instance keeps links to those that follow it on a ring of names at
+distances that are powers of two, so that news reaches all in a number of steps
+that grows with the logarithm of the region's size. It watches the nearest of
+them, whatever the size. The platform's lagging list only introduces instances.
 """
 
 import enum
@@ -14,6 +14,9 @@
 
 #: Seconds that an instance in the list but never heard of counts as alive.
 _UNHEARD_S = 5.0
+#: Instances that each one watches: at distances 1, 2 and 4, so that no two
+#: neighbours have the same watchers and one survivor of three is enough.
+_WATCHED = 3
 
 
 class Status(enum.Enum):
@@ -65,7 +68,15 @@
     :param incarnation: rises with each start; also raised to refute news.
     """
 
-    __slots__ = ('_leaving', '_peers', '_watch', 'incarnation', 'name')
+    __slots__ = (
+        '_leaving',
+        '_peers',
+        '_ring',
+        '_watch',
+        '_watching',
+        'incarnation',
+        'name',
+    )
 
     def __init__(self, name: str, incarnation: int, watch: Watch) -> None:
         """Start alone."""
@@ -74,31 +85,68 @@
         self._watch = watch
         self._peers: dict[str, _Peer] = {}
         self._leaving = False
+        #: Live instances since the last change; ``None``: to be worked out.
+        self._ring: tuple[str, ...] | None = None
+        #: Instances that were watched when they were last judged.
+        self._watching: frozenset[str] = frozenset()
 
     @property
     def live(self) -> list[str]:
         """Names of the live instances, this one included, sorted."""
-        names = [
-            name for name, peer in self._peers.items() if peer.status in _LIVE
-        ]
-        return sorted([self.name, *names])
+        return list(self._list_ring())
 
-    def list_watched(self) -> list[str]:
+    def is_live(self, name: str) -> bool:
+        """Return whether an instance counts as live."""
+        peer = self._peers.get(name)
+        return name == self.name or bool(peer and peer.status in _LIVE)
+
+    def list_linked(self) -> list[str]:
         """Return the instances that this one keeps links to."""
-        ring = self.live
+        ring = self._list_ring()
         place = ring.index(self.name)
         distance = 1
-        watched: list[str] = []
+        linked: list[str] = []
         while distance < len(ring):
-            watched.append(ring[(place + distance) % len(ring)])
+            linked.append(ring[(place + distance) % len(ring)])
             distance *= 2
-        return watched
+        return linked
+
+    def list_watched(self) -> list[str]:
+        """Return the instances whose silence this one judges."""
+        return self.list_linked()[:_WATCHED]
+
+    def list_watchers(self) -> list[str]:
+        """Return the instances that judge the silence of this one."""
+        ring = self._list_ring()
+        place = ring.index(self.name)
+        distances = [2**power for power in range(_WATCHED)]
+        return [
+            ring[(place - distance) % len(ring)]
+            for distance in distances
+            if distance < len(ring)
+        ]
+
+    def list_lost(self) -> list[str]:
+        """Return the listed instances that count as dead, sorted."""
+        return sorted(
+            name
+            for name, peer in self._peers.items()
+            if peer.listed and peer.status is Status.DEAD
+        )
+
+    def doubt_lost(self) -> list[News]:
+        """Return news on which those that wrongly count as dead speak up."""
+        return [
+            News(name, self._peers[name].incarnation, Status.SUSPECT.value)
+            for name in self.list_lost()
+        ]
 
     def note_list(self, names: set[str], now: float) -> None:
         """Take in the platform's list of this region's instances."""
         for name in sorted(names - {self.name}):
             if name not in self._peers:
                 self._peers[name] = _Peer(0, now)
+                self._ring = None
             self._peers[name].listed = True
         for name, peer in list(self._peers.items()):
             peer.listed = name in names
@@ -113,12 +161,14 @@
         peer = self._peers.get(name)
         if peer is None:
             self._peers[name] = _Peer(incarnation, now)
+            self._ring = None
             return [_tell(name, self._peers[name])]
         peer.heard_at = now
         if incarnation > peer.incarnation:
             changed = peer.status not in _LIVE or not peer.incarnation
             peer.incarnation = incarnation
             peer.status = Status.ALIVE
+            self._ring = None
             return [_tell(name, peer)] if changed else []
         if peer.status is Status.SUSPECT:
             peer.status = Status.ALIVE
@@ -140,6 +190,7 @@
             return []
         peer.incarnation = news.incarnation
         peer.status = status
+        self._ring = None
         if status in _LIVE:
             peer.heard_at = now
         return [news]
@@ -150,17 +201,23 @@
         :return: news to pass on.
         """
         news: list[News] = []
-        for name in self.list_watched():
+        watched = self.list_watched()
+        for name in watched:
             peer = self._peers[name]
+            if name not in self._watching:
+                # Before, it had no reason to say anything to this instance.
+                peer.heard_at = now
             silent_s = now - peer.heard_at
             limit_s = self._watch.remove_after_s
             if not peer.incarnation:
                 limit_s = max(limit_s, _UNHEARD_S)
             if silent_s >= limit_s:
                 peer.status = Status.DEAD
+                self._ring = None
                 news.append(_tell(name, peer))
             elif silent_s >= self._watch.suspect_after_s:
                 peer.status = Status.SUSPECT
+        self._watching = frozenset(watched)
         return news
 
     def leave(self) -> News:
@@ -172,6 +229,16 @@
             status=Status.LEFT.value,
         )
 
+    def _list_ring(self) -> tuple[str, ...]:
+        if self._ring is None:
+            names = [
+                name
+                for name, peer in self._peers.items()
+                if peer.status in _LIVE
+            ]
+            self._ring = tuple(sorted([self.name, *names]))
+        return self._ring
+
     def _refute(self, news: News) -> list[News]:
         if self._leaving or news.incarnation < self.incarnation:
             # What is said of a leaving instance is true, or soon will be.
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -177,6 +177,27 @@
     gone: bool = False
 
 
+class RunnersRead(_Message, frozen=True):
+    """The sender has just read the registry of runners."""
+
+    #: Offset up to which its view covers the registry's records.
+    covers: int
+    #: Digest of its view, as :class:`anvilhall.core.views.RunnerView` has it.
+    digest: int
+
+
+class RunnersAsk(_Message, frozen=True):
+    """Asks for all runners that the receiver knows."""
+
+
+class RunnersOffer(_Message, frozen=True):
+    """All runners that the sender knows."""
+
+    #: Offset up to which its view covers the registry's records.
+    covers: int
+    entries: tuple[RunnerNews, ...]
+
+
 class SettingsAsk(_Message, frozen=True):
     """Asks a peer for its settings, if newer than an offset."""
 
@@ -216,25 +237,24 @@
     body: bytes = b''
 
 
-Message = (
-    Ask
-    | Grant
-    | Refusal
-    | Queued
-    | Pause
-    | Progress
-    | Release
-    | Inventory
-    | Challenge
-    | Hello
-    | Heartbeat
+#: About requests, between an entry instance and an owner.
+RequestMessage = (
+    Ask | Grant | Refusal | Queued | Pause | Progress | Release | Inventory
+)
+#: About the state that instances share.
+StateMessage = (
+    Heartbeat
     | News
     | RunnerNews
+    | RunnersRead
+    | RunnersAsk
+    | RunnersOffer
     | SettingsAsk
     | SettingsRecords
     | SettingsOffer
-    | AnswerAsk
-    | AnswerOffer
+)
+Message = (
+    RequestMessage | StateMessage | Challenge | Hello | AnswerAsk | AnswerOffer
 )
 
 _KINDS = frozenset(kind.__name__ for kind in Message.__args__)
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -86,6 +86,11 @@
         """Names of the pools whose shard is owned."""
         return frozenset(self._owned)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait in the queue of an owned shard."""
+        return any(owned.shard.waiting_count for owned in self._owned.values())
+
     def get_shard(self, pool: str) -> Shard | None:
         """Return the shard of a pool, if it is owned."""
         owned = self._owned.get(pool)
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -6,7 +6,7 @@
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
-from anvilhall.core.messages import RunnerNews
+from anvilhall.core.messages import RunnerNews, RunnersOffer, RunnersRead
 from anvilhall.core.routes import RoutingSettings
 from anvilhall.core.views import RunnerView
 from anvilhall.exceptions import (
@@ -35,17 +35,26 @@
     StoreClient,
 )
 
-#: Seconds that one long poll for settings may last.
-_SETTINGS_POLL_S = 10.0
+#: Seconds that one long poll for settings may last, of an instance that reads
+#: for others and of one that hears of new versions from it.
+_READER_POLL_S = 10.0
+_LISTENER_POLL_S = 25.0
 #: Seconds between reads of the runners' entries: two reads fit well into the
 #: two seconds after which a draining runner must get no more requests.
 _RUNNERS_INTERVAL_S = 0.8
+#: Seconds without news from a reader after which an instance reads by itself:
+#: two reads, and still within those two seconds.
+_READER_LATE_S = 1.6
+#: Seconds between looks at whether that is so.
+_LOOK_S = 0.1
 #: Seconds before a failed read is repeated; up to twice as long.
 _RETRY_S = 0.25
 #: Seconds from the start to the looks for other instances, and between looks
-#: from then on; links bring the news of new instances sooner.
-_INSTANCE_LOOKS_S = (0.5, 1.0, 2.0, 4.0)
-_INSTANCE_INTERVAL_S = 15.0
+#: from then on, of an instance that reads for others and of another one; links
+#: bring the news of new instances sooner.
+_INSTANCE_LOOKS_S = (0.5, 4.0)
+_READER_INTERVAL_S = 15.0
+_LISTENER_INTERVAL_S = 60.0
 
 
 class _Feed:
@@ -101,7 +110,7 @@
 class SettingsFeed(_Feed):
     """Keeps the newest version of the routing settings."""
 
-    __slots__ = ('_on_change', 'settings')
+    __slots__ = ('_is_reader', '_on_change', 'settings')
 
     def __init__(
         self,
@@ -110,12 +119,15 @@
         metrics: Metrics,
         chance: random.Random,
         on_change: Callable[[RoutingSettings], None],
+        is_reader: Callable[[], bool],
     ) -> None:
         """Start without settings.
 
         :param on_change: called with each newer version.
+        :param is_reader: whether this instance reads for others.
         """
         super().__init__(CONFIG_TOPIC, store, clock, metrics, chance)
+        self._is_reader = is_reader
         self._on_change = on_change
         self.settings: RoutingSettings | None = None
 
@@ -148,10 +160,11 @@
         page = await self._store.list_newest(self._topic)
         self._apply(page)
         while True:
+            poll_s = _READER_POLL_S if self._is_reader() else _LISTENER_POLL_S
             page = await self._store.read(
                 self._topic,
                 page.next_offset,
-                _SETTINGS_POLL_S,
+                poll_s,
             )
             self._apply(page)
 
@@ -166,9 +179,19 @@
 
 
 class RunnersFeed(_Feed):
-    """Keeps the view of the runners."""
-
-    __slots__ = ('_on_change', '_region', '_tell_peers', '_view')
+    """Keeps the view of the runners.
+
+    One instance of each failure domain reads the registry and tells the
+    others; who hears nothing for a while reads by itself and tells, too.
+    """
+
+    __slots__ = (
+        '_is_reader',
+        '_on_change',
+        '_region',
+        '_tell_peers',
+        '_view',
+    )
 
     def __init__(
         self,
@@ -178,14 +201,17 @@
         metrics: Metrics,
         chance: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
-        tell_peers: Callable[[RunnerNews], None],
+        tell_peers: Callable[[RunnerNews | RunnersRead], None],
+        is_reader: Callable[[], bool],
     ) -> None:
         """Start without runners.
 
         :param on_change: called with all runners after a change.
-        :param tell_peers: passes a change on to other instances, which the
-            store may be turning away.
+        :param tell_peers: passes a change, or the fact that nothing changed,
+            on to other instances.
+        :param is_reader: whether this instance reads for others.
         """
+        self._is_reader = is_reader
         self._tell_peers = tell_peers
         super().__init__(RUNNERS_TOPIC, store, clock, metrics, chance)
         self._region = region
@@ -208,14 +234,61 @@
         """Return the seconds since the store was last read."""
         return self._view.measure_age_s(self._clock.monotonic())
 
+    def take_read(self, read: RunnersRead) -> bool:
+        """Take in that another instance has just read the registry.
+
+        :return: whether the own view is the same, or newer.
+        """
+        if read.digest == self._view.digest:
+            now = self._clock.monotonic()
+            self._view.note_contact(now)
+            self._view.covers = max(self._view.covers, read.covers)
+            return True
+        return self._view.has_newer(read.covers)
+
+    def build_offer(self) -> RunnersOffer:
+        """Return all that this instance knows of the runners."""
+        entries = tuple(
+            RunnerNews(version, member)
+            for version, member in self._view.list_entries()
+        )
+        return RunnersOffer(self._view.covers, entries)
+
+    def take_offer(self, offer: RunnersOffer) -> None:
+        """Take in all that another instance knows of the runners."""
+        if offer.covers < self._view.covers:
+            return
+        before = self._view.members
+        now = self._clock.monotonic()
+        self._view.note_contact(now)
+        names: set[str] = set()
+        for entry in offer.entries:
+            names.add(entry.runner.name)
+            self._view.put(entry.runner, entry.version)
+        self._view.keep_only(names, offer.covers, now)
+        self._view.covers = offer.covers
+        self._tell(before, 'peer')
+
     async def _follow(self) -> None:
+        first = self.measure_age_s() is None
+        await self._wait_turn()
         page = await self._store.list_newest(self._topic)
-        self._apply(page, complete=True)
-        while True:
+        self._apply(page, complete=True, spread=not first)
+        while self._is_reader():
             await asyncio.sleep(_RUNNERS_INTERVAL_S)
             page = await self._read(page.next_offset)
             self._apply(page, complete=False)
 
+    def _must_read(self) -> bool:
+        age_s = self.measure_age_s()
+        return self._is_reader() or age_s is None or age_s > _READER_LATE_S
+
+    async def _wait_turn(self) -> None:
+        while not self._must_read():
+            await asyncio.sleep(_LOOK_S)
+            if self._view.has_missing:
+                self._expire()
+
     async def _read(self, offset: int) -> KeyedPage:
         while True:
             try:
@@ -225,7 +298,13 @@
                 self._expire()
             await self._pause()
 
-    def _apply(self, page: KeyedPage, *, complete: bool) -> None:
+    def _apply(
+        self,
+        page: KeyedPage,
+        *,
+        complete: bool,
+        spread: bool = True,
+    ) -> None:
         self._note_contact()
         before = self._view.members
         now = self._clock.monotonic()
@@ -236,8 +315,10 @@
             names = {listed.key for listed in page.records}
             self._view.keep_only(names, page.next_offset, now)
         self._view.expire(now)
+        self._view.covers = max(self._view.covers, page.next_offset)
         # The first list is no news: each instance reads it by itself.
-        self._tell(before, 'store', spread=not complete)
+        self._tell(before, 'store', spread=spread)
+        self._tell_peers(RunnersRead(self._view.covers, self._view.digest))
 
     def _expire(self) -> None:
         before = self._view.members
@@ -285,7 +366,7 @@
 class InstancesFeed(_Feed):
     """Announces this instance and finds the others."""
 
-    __slots__ = ('_on_change', '_own', 'members')
+    __slots__ = ('_is_reader', '_on_change', '_own', 'members')
 
     def __init__(
         self,
@@ -295,11 +376,14 @@
         metrics: Metrics,
         chance: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
+        is_reader: Callable[[], bool],
     ) -> None:
         """Start knowing of this instance only.
 
         :param on_change: called with all instances after a change.
+        :param is_reader: whether this instance reads for others.
         """
+        self._is_reader = is_reader
         super().__init__(INSTANCES_TOPIC, store, clock, metrics, chance)
         self._own = own
         self._on_change = on_change
@@ -313,7 +397,9 @@
             await asyncio.sleep(max(0.0, due_s - waited_s))
             await self._look()
         while True:
-            await asyncio.sleep(_INSTANCE_INTERVAL_S)
+            reader = self._is_reader()
+            pause_s = _READER_INTERVAL_S if reader else _LISTENER_INTERVAL_S
+            await asyncio.sleep(pause_s)
             await self._look()
 
     async def _announce(self) -> None:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -1,6 +1,6 @@
 """This instance among the others: membership, links and message routing."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 import msgspec
 
@@ -25,10 +25,9 @@
     Refusal,
     Release,
 )
-from anvilhall.core.owner import OwnerMessage
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PeerUnreachable
-from anvilhall.links import LinkEvents, Links, LinkSet
+from anvilhall.links import SLOW_BEATS, LinkEvents, Links, LinkSet
 from anvilhall.local import LocalConfig
 from anvilhall.logs import note_change
 from anvilhall.metrics import Metrics
@@ -55,18 +54,21 @@
         '_clock',
         '_config',
         '_directory',
-        '_gone_at',
+        '_foreigners',
         '_handlers',
         '_leaving',
+        '_beats',
         '_links',
         '_listed',
         '_membership',
         '_metrics',
-        '_regions',
+        '_probed',
+        '_shares_registry',
         '_stale',
         '_tree',
         'broker',
         'get_covers',
+        'on_work',
     )
 
     def __init__(
@@ -75,9 +77,21 @@
         clock: Clock,
         metrics: Metrics,
         build_links: BuildLinks = Links,
+        *,
+        shares_registry: bool = False,
     ) -> None:
-        """Start alone."""
+        """Start alone.
+
+        :param shares_registry: whether one instance of each failure domain
+            reads the registry of runners for the others.
+        """
         self._config = config
+        self._shares_registry = shares_registry
+        self._beats = 0
+        #: Lost instance that is dialled at present; empty if none is.
+        self._probed = ''
+        #: Called when :meth:`tick` has work to do.
+        self.on_work: Callable[[], None] = _do_nothing
         self._clock = clock
         self._metrics = metrics
         self._tree = Tree({})
@@ -87,10 +101,7 @@
         #: Whether the view or the list has changed since the last tick.
         self._stale = False
         self._handlers: dict[type[Message], Handler] = {}
-        #: Regions of instances that have had a link.
-        self._regions: dict[str, str] = {}
-        #: When the last link to a foreign instance went down.
-        self._gone_at: dict[str, float] = {}
+        self._foreigners = _Foreigners(config.region)
         #: Returns the offset up to which settings have been folded.
         self.get_covers: Callable[[], int] = _know_nothing
         self._directory = Directory(config.instance, config.region)
@@ -113,7 +124,7 @@
             clock,
             self._directory,
             self._send_request,
-            self._forward_answer,
+            self._try_send,
             config.policy,
             Patience(
                 answer_s=config.timings.owner_answer_s,
@@ -136,6 +147,17 @@
         """Instances with an open link."""
         return self._links.names
 
+    @property
+    def busy(self) -> bool:
+        """Whether :meth:`tick` has work to do, or time alone may bring some."""
+        return self._stale or self.broker.busy
+
+    @property
+    def reads_registry(self) -> bool:
+        """Whether this instance reads the registry for its failure domain."""
+        readers = self._directory.list_readers()
+        return self._config.instance in readers.values()
+
     def handle(self, kind: type[Message], handler: Handler) -> None:
         """Pass messages of a kind to a handler."""
         self._handlers[kind] = handler
@@ -172,22 +194,34 @@
             self._directory.list_region_instances(),
             self._clock.monotonic(),
         )
-        self._stale = True
+        self._mark_stale()
 
     def beat(self) -> None:
         """Send heartbeats and judge those of the others."""
-        self._links.beat(self._build_heartbeat())
+        receivers: Container[str] = self._membership.list_watchers()
+        self._beats += 1
+        if self._beats % SLOW_BEATS == 0:
+            receivers = self._links.names
+            self._probe_lost()
+        self._links.beat(self._build_heartbeat(), receivers)
         news = self._membership.check_watched(self._clock.monotonic())
         self._spread(news)
-        self._drop_silent_foreigners()
+        self._links.close_silent(self._membership.list_watched())
+        for silent in self._foreigners.pop_silent(self._clock.monotonic()):
+            self.broker.owner.drop_sender(silent)
         if news:
-            self._stale = True
+            self._mark_stale()
+
+    def announce(self) -> None:
+        """Tell all linked instances at once what heartbeats tell in time."""
+        self._links.beat(self._build_heartbeat(), self._links.names)
 
     def tick(self) -> None:
-        """Follow what has changed since the last tick, once for all changes."""
+        """Do what is due: follow changes, once for all of them."""
         if self._stale:
             self._stale = False
             self._follow_view()
+        self.broker.tick()
 
     def leave(self) -> None:
         """Hand ownership on: say goodbye and resign from all shards."""
@@ -210,9 +244,6 @@
                 self._links.add(instance, address)
         self._links.send(instance, message)
 
-    def _forward_answer(self, instance: str, message: OwnerMessage) -> None:
-        self._try_send(instance, message)
-
     def _try_send(self, instance: str, message: Message) -> None:
         try:
             self._links.send(instance, message)
@@ -222,7 +253,7 @@
 
     def _note_up(self, hello: Hello) -> None:
         name = hello.instance
-        self._regions[name] = hello.region
+        self._foreigners.note_up(name, hello.region)
         if hello.address:
             self._directory.introduce(
                 Member(
@@ -233,12 +264,13 @@
                     capacity=hello.capacity,
                 ),
             )
-        self._gone_at.pop(name, None)
         if hello.region == self._config.region:
             now = self._clock.monotonic()
             known = self._membership.note_life(name, hello.incarnation, now)
             self._spread(known)
-            self._stale = True
+            for doubt in self._membership.doubt_lost():
+                self._try_send(name, doubt)
+            self._mark_stale()
         if self._leaving:
             # Who was started just now has not heard of it.
             self._spread([self._membership.leave()])
@@ -249,13 +281,14 @@
         if name in self._links.names:
             return
         self.broker.drop_link(name)
-        if self._regions.get(name) != self._config.region:
-            self._gone_at[name] = self._clock.monotonic()
+        self._foreigners.note_down(name, self._clock.monotonic())
 
     def _take_message(self, sender: str, message: Message) -> None:
         self.broker.note_heard(sender)
         if isinstance(message, Ask | Progress | Release | Inventory):
             self.broker.owner.handle(sender, message)
+            if isinstance(message, Ask) and self.broker.owner.has_waiting:
+                self.on_work()
         elif isinstance(message, Grant | Refusal | Queued | Pause):
             self.broker.take_answer(sender, message)
         elif isinstance(message, Heartbeat):
@@ -267,14 +300,14 @@
             handler(sender, message)
 
     def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
-        if self._regions.get(sender) != self._config.region:
+        if not self._foreigners.is_home(sender):
             return
         now = self._clock.monotonic()
-        was_live = sender in self._membership.live
+        was_live = self._membership.is_live(sender)
         news = self._membership.note_life(sender, heartbeat.incarnation, now)
         self._spread(news)
-        if not was_live and sender in self._membership.live:
-            self._stale = True
+        if not was_live and self._membership.is_live(sender):
+            self._mark_stale()
 
     def _take_news(self, news: News) -> None:
         if news.member and news.instance != self._config.instance:
@@ -282,7 +315,20 @@
         fresh = self._membership.note_news(news, self._clock.monotonic())
         if fresh:
             self._spread(fresh)
-            self._stale = True
+            self._mark_stale()
+
+    def _mark_stale(self) -> None:
+        self._stale = True
+        self.on_work()
+
+    def _probe_lost(self) -> None:
+        """Dial one of the lost instances, in turn: a cut may be over."""
+        lost = self._membership.list_lost()
+        if not lost and not self._probed:
+            return
+        place = self._beats // SLOW_BEATS
+        self._probed = lost[place % len(lost)] if lost else ''
+        self._choose_links()
 
     def _spread(self, news: Iterable[News]) -> None:
         for piece in news:
@@ -303,7 +349,12 @@
         self.broker.refresh(self._tree)
 
     def _choose_links(self) -> None:
-        wanted = set(self._membership.list_watched())
+        wanted = set(self._membership.list_linked())
+        if self._probed:
+            wanted.add(self._probed)
+        if self._shares_registry:
+            domain = self._config.failure_domain
+            wanted.update(self._directory.list_reader_links(domain))
         for pool in self._tree.pools:
             wanted.update(self._directory.list_foreign_owners(pool)[:2])
             owner = self._directory.find_owner(pool)
@@ -316,13 +367,6 @@
                 addresses[name] = address
         self._links.want(addresses)
 
-    def _drop_silent_foreigners(self) -> None:
-        oldest = self._clock.monotonic() - defaults.FOREIGN_SILENCE_S
-        for name, gone_at in list(self._gone_at.items()):
-            if gone_at < oldest:
-                self._gone_at.pop(name)
-                self.broker.owner.drop_sender(name)
-
     def _build_heartbeat(self) -> Heartbeat:
         return Heartbeat(
             incarnation=self._membership.incarnation,
@@ -330,5 +374,47 @@
         )
 
 
+class _Foreigners:
+    """Regions of linked instances, and which of other regions are gone.
+
+    :param region: the own region.
+    """
+
+    __slots__ = ('_gone_at', '_region', '_regions')
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        #: Regions of instances that have had a link.
+        self._regions: dict[str, str] = {}
+        #: When the last link to a foreign instance went down.
+        self._gone_at: dict[str, float] = {}
+
+    def is_home(self, name: str) -> bool:
+        """Return whether an instance is of the own region."""
+        return self._regions.get(name) == self._region
+
+    def note_up(self, name: str, region: str) -> None:
+        self._regions[name] = region
+        self._gone_at.pop(name, None)
+
+    def note_down(self, name: str, now: float) -> None:
+        if not self.is_home(name):
+            self._gone_at[name] = now
+
+    def pop_silent(self, now: float) -> list[str]:
+        """Return the foreign instances whose grants are to be freed."""
+        oldest = now - defaults.FOREIGN_SILENCE_S
+        silent = [
+            name for name, gone_at in self._gone_at.items() if gone_at < oldest
+        ]
+        for name in silent:
+            self._gone_at.pop(name)
+        return silent
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 def _know_nothing() -> int:
     return -1
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -11,6 +11,9 @@
     Heartbeat,
     Message,
     RunnerNews,
+    RunnersAsk,
+    RunnersOffer,
+    RunnersRead,
     SettingsAsk,
     SettingsOffer,
 )
@@ -30,10 +33,12 @@
 from anvilhall.platform.store import StoreClient
 from anvilhall.relay import RelayFront, RelayServer
 from anvilhall.relayjobs import RelayServices
-from anvilhall.tasks import TaskSet
+from anvilhall.tasks import Pace, TaskSet
 
-#: Seconds between rounds of work that is due by time.
+#: Seconds between rounds of work that is due by time: while requests wait, a
+#: fraction of the time within which owners must answer; else only to be sure.
 _TICK_S = 0.025
+_IDLE_TICK_S = 0.5
 #: Seconds between looks at whether a shutdown is complete.
 _DRAIN_POLL_S = 0.05
 
@@ -53,6 +58,7 @@
         '_leaving',
         '_settings_feed',
         '_operators',
+        '_pace',
         '_relay_config',
         '_runners',
         '_runners_feed',
@@ -79,7 +85,16 @@
         self._leaving = False
         chance = chance or random.SystemRandom()
         self.metrics = Metrics()
-        self._fleet = Fleet(config, clock, self.metrics, build_links)
+        self._fleet = Fleet(
+            config,
+            clock,
+            self.metrics,
+            build_links,
+            shares_registry=True,
+        )
+        self._pace = Pace()
+        self._fleet.on_work = self._pace.wake
+        self._fleet.broker.on_wait = self._pace.wake
         store = StoreClient(relay_config.store, outbound)
         self._settings_feed = SettingsFeed(
             store,
@@ -87,6 +102,7 @@
             self.metrics,
             chance,
             self._apply_settings,
+            self._reads_for_others,
         )
         self._runners: tuple[Member, ...] = ()
         self._runners_feed = RunnersFeed(
@@ -97,6 +113,7 @@
             chance,
             self._apply_runners,
             self._fleet.tell_linked,
+            self._reads_for_others,
         )
         self._instances = InstancesFeed(
             Member(
@@ -111,6 +128,7 @@
             self.metrics,
             chance,
             self._apply_instances,
+            self._reads_for_others,
         )
         services = RelayServices(
             self._fleet.broker,
@@ -138,6 +156,9 @@
         self._fleet.handle(SettingsAsk, self._take_ask)
         self._fleet.handle(SettingsOffer, self._take_offer)
         self._fleet.handle(RunnerNews, self._take_runner_news)
+        self._fleet.handle(RunnersRead, self._take_runners_read)
+        self._fleet.handle(RunnersAsk, self._take_runners_ask)
+        self._fleet.handle(RunnersOffer, self._take_runners_offer)
 
     @classmethod
     def from_config(
@@ -181,7 +202,7 @@
             self._beat,
             self._config.timings.heartbeat_interval_s,
         )
-        self._tasks.repeat(self._tick, _TICK_S)
+        self._tasks.spawn(self._keep_ticking)
         note_change('started', instance=self._config.instance)
 
     async def stop(self) -> None:
@@ -245,9 +266,13 @@
     def _get_version(self) -> int:
         return self._settings_feed.version
 
+    def _reads_for_others(self) -> bool:
+        return self._fleet.reads_registry
+
     def _apply_settings(self, settings: RoutingSettings) -> None:
         self._server.set_limits(settings.limits)
         self._fleet.set_tree(settings.tree)
+        self._fleet.announce()
 
     def _apply_runners(self, runners: tuple[Member, ...]) -> None:
         self._runners = runners
@@ -270,9 +295,13 @@
             note_change('runner_trusted', pool=trusted_pool, runner=trusted)
         self._suspects = suspects
 
-    async def _tick(self) -> None:
-        self._fleet.tick()
-        self._fleet.broker.tick()
+    async def _keep_ticking(self) -> None:
+        while True:
+            self._fleet.tick()
+            if self._fleet.busy:
+                await asyncio.sleep(_TICK_S)
+            else:
+                await self._pace.wait(_IDLE_TICK_S)
 
     async def _wait_drained(self) -> None:
         while self.front.open_requests:
@@ -297,6 +326,19 @@
         assert isinstance(message, RunnerNews)  # noqa: S101
         self._runners_feed.take_news(message)
 
+    def _take_runners_read(self, sender: str, message: Message) -> None:
+        assert isinstance(message, RunnersRead)  # noqa: S101
+        if not self._runners_feed.take_read(message):
+            self._try_send(sender, RunnersAsk())
+
+    def _take_runners_ask(self, sender: str, message: Message) -> None:
+        assert isinstance(message, RunnersAsk)  # noqa: S101
+        self._try_send(sender, self._runners_feed.build_offer())
+
+    def _take_runners_offer(self, sender: str, message: Message) -> None:
+        assert isinstance(message, RunnersOffer)  # noqa: S101
+        self._runners_feed.take_offer(message)
+
     def _try_send(self, instance: str, message: Message) -> None:
         try:
             self._fleet.send(instance, message)
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -231,6 +231,7 @@
         self._claims.ledger.window_s = tree.guards.claim_window_s
         self.services.budget.share = tree.guards.retry_budget_share
         self._fleet.set_tree(tree)
+        self._fleet.announce()
 
     async def _read_list(self) -> None:
         try:
@@ -248,7 +249,6 @@
 
     async def _tick(self) -> None:
         self._fleet.tick()
-        self._fleet.broker.tick()
 
     async def _wait_drained(self) -> None:
         while self.gate.open_requests or not self._claims.settled:
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -9,7 +9,7 @@
 import hmac
 import secrets
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any, Protocol
 
 import msgspec
@@ -35,6 +35,9 @@
 
 #: Version of the messages; instances of different versions work together.
 PROTOCOL_VERSION = 1
+#: Heartbeats of which one goes to instances that do not watch the sender: what
+#: they need is that a dead connection is noticed in the end.
+SLOW_BEATS = 4
 #: Seconds for dialling and the exchange of hellos.
 _HANDSHAKE_TIMEOUT_S = 1.0
 #: Seconds between attempts to dial one instance.
@@ -144,8 +147,15 @@
     def send(self, name: str, message: Message) -> None:
         """Send a message to an instance."""
 
-    def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on all links and close those that are silent."""
+    def beat(
+        self,
+        heartbeat: Heartbeat,
+        receivers: Container[str],
+    ) -> None:
+        """Send a heartbeat to those of the receivers that have a link."""
+
+    def close_silent(self, watched: Container[str]) -> None:
+        """Close the links that have been silent for too long."""
 
     def close(self) -> None:
         """Close all links and stop accepting."""
@@ -235,16 +245,29 @@
             raise PeerUnreachable(f'no link to {name}')
         link.send(message)
 
-    def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on all links and close those that are silent."""
+    def beat(
+        self,
+        heartbeat: Heartbeat,
+        receivers: Container[str],
+    ) -> None:
+        """Send a heartbeat on all links with the receivers."""
+        for link in (*self._dialled.values(), *self._accepted.values()):
+            if link.hello.instance in receivers:
+                link.send(heartbeat)
+
+    def close_silent(self, watched: Container[str]) -> None:
+        """Close the links that have been silent for too long.
+
+        :param watched: instances that send each heartbeat on their links; the
+            others send each :data:`SLOW_BEATS`-th.
+        """
+        now = asyncio.get_running_loop().time()
         for link in (*self._dialled.values(), *self._accepted.values()):
-            link.send(heartbeat)
-        oldest = asyncio.get_running_loop().time() - (
-            self._config.timings.suspect_after_s
-        )
-        for silent in (*self._dialled.values(), *self._accepted.values()):
-            if silent.heard_at < oldest:
-                silent.close()
+            limit_s = self._config.timings.suspect_after_s
+            if link.hello.instance not in watched:
+                limit_s *= SLOW_BEATS
+            if now - link.heard_at > limit_s:
+                link.close()
 
     def close(self) -> None:
         """Close all links and stop accepting."""
--- a/src/anvilhall/tasks.py
+++ b/src/anvilhall/tasks.py
@@ -10,6 +10,30 @@
 _RESTART_S = 0.25
 
 
+class Pace:
+    """Waits between rounds of work that is more urgent at some times."""
+
+    __slots__ = ('_event',)
+
+    def __init__(self) -> None:
+        """Start without urgent work."""
+        self._event = asyncio.Event()
+
+    def wake(self) -> None:
+        """End the present wait."""
+        self._event.set()
+
+    async def wait(self, longest_s: float) -> None:
+        """Wait until woken, at most for some seconds."""
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._event.wait()
+        except TimeoutError:
+            # The round is due by time.
+            return
+        self._event.clear()
+
+
 class TaskSet:
     """Work that goes on until it is cancelled.
 
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -33,7 +33,7 @@
     UpstreamRefused,
     UpstreamStalled,
 )
-from anvilhall.links import PROTOCOL_VERSION, LinkEvents
+from anvilhall.links import PROTOCOL_VERSION, SLOW_BEATS, LinkEvents
 from anvilhall.local import LocalConfig
 from anvilhall.logservice import Page, Record
 from anvilhall.metrics import Metrics
@@ -158,15 +158,24 @@
         frame = encode_message(message)
         self._network.carry(self._config.instance, name, frame)
 
-    def beat(self, heartbeat: Heartbeat) -> None:
-        """Send a heartbeat on all links and close those that are silent."""
+    def beat(
+        self,
+        heartbeat: Heartbeat,
+        receivers: Container[str],
+    ) -> None:
+        """Send a heartbeat to those of the receivers that have a link."""
         for name in list(self._up):
-            self.send(name, heartbeat)
-        oldest = asyncio.get_running_loop().time() - (
-            self._config.timings.suspect_after_s
-        )
+            if name in receivers:
+                self.send(name, heartbeat)
+
+    def close_silent(self, watched: Container[str]) -> None:
+        """Close the links that have been silent for too long."""
+        now = asyncio.get_running_loop().time()
         for name, heard_at in list(self._heard_at.items()):
-            if name in self._up and heard_at < oldest:
+            limit_s = self._config.timings.suspect_after_s
+            if name not in watched:
+                limit_s *= SLOW_BEATS
+            if name in self._up and now - heard_at > limit_s:
                 self._lose(name)
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,188 @@
+"""How instances share what one of them reads in the registry of runners."""
+
+import asyncio
+import datetime as dt
+import random
+
+import msgspec
+import pytest
+
+from anvilhall.core.messages import RunnerNews
+from anvilhall.exceptions import LogUnavailable
+from anvilhall.feeds import RunnersFeed
+from anvilhall.metrics import Metrics
+from anvilhall.platform.store import KeyedPage, KeyedRecord
+from anvilhall_standins.virtualloop import LoopClock, VirtualLoop
+
+START = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
+#: Seconds after which a draining runner must get nothing more.
+DRAIN_S = 2.0
+
+
+class _Registry:
+    """Keyed records in memory; counts the calls by reader."""
+
+    def __init__(self):
+        self.records = []
+        self.calls = {}
+        self.away = set()
+
+    def write(self, name, state='ready'):
+        entry = {
+            'service': 'desk',
+            'address': '10.0.0.1:80',
+            'zone': 'd1',
+            'state': state,
+        }
+        encoded = msgspec.json.encode(entry) if state else None
+        self.records.append(KeyedRecord(name, encoded, len(self.records)))
+
+    def open(self, reader):
+        return _Client(self, reader)
+
+    def list_newest(self):
+        newest = {record.key: record for record in self.records}
+        kept = tuple(each for each in newest.values() if each.content)
+        return KeyedPage(kept, len(self.records))
+
+
+class _Client:
+    """The registry as one instance reaches it."""
+
+    def __init__(self, registry, reader):
+        self._registry = registry
+        self._reader = reader
+
+    async def list_newest(self, topic):
+        self._count()
+        return self._registry.list_newest()
+
+    async def read(self, topic, offset, wait_s):
+        self._count()
+        records = tuple(self._registry.records[offset:])
+        return KeyedPage(records, offset + len(records))
+
+    def _count(self):
+        calls = self._registry.calls
+        calls[self._reader] = calls.get(self._reader, 0) + 1
+        if self._reader in self._registry.away:
+            raise LogUnavailable('away')
+
+
+class _Fleet:
+    """Feeds of several instances, linked with each other."""
+
+    def __init__(self, loop, names):
+        self.registry = _Registry()
+        self.reader = names[0]
+        self.cut = set()
+        self.feeds = {}
+        self.members = {}
+        clock = LoopClock(loop, START)
+        for name in names:
+            self.feeds[name] = RunnersFeed(
+                'r',
+                self.registry.open(name),
+                clock,
+                Metrics(),
+                random.Random(1),
+                lambda members, name=name: self.members.update({name: members}),
+                lambda message, name=name: self._tell(name, message),
+                lambda name=name: name == self.reader,
+            )
+
+    def states(self, name):
+        return {
+            member.name: member.leaving for member in self.members.get(name, ())
+        }
+
+    def _tell(self, sender, message):
+        for name, feed in self.feeds.items():
+            if name == sender or self.cut & {name, sender}:
+                continue
+            if isinstance(message, RunnerNews):
+                feed.take_news(message)
+            elif not feed.take_read(message):
+                feed.take_offer(self.feeds[sender].build_offer())
+
+
+@pytest.fixture
+def play():
+    """Return what runs a scenario on feeds of three instances."""
+
+    def run(scenario):
+        loop = VirtualLoop()
+        fleet = _Fleet(loop, ['reader', 'second', 'third'])
+        fleet.registry.write('r1')
+
+        async def start():
+            tasks = [
+                asyncio.ensure_future(feed.run())
+                for feed in fleet.feeds.values()
+            ]
+            await asyncio.sleep(3.0)
+            await scenario(fleet)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        try:
+            loop.run_until_complete(start())
+        finally:
+            loop.close()
+
+    return run
+
+
+def test_one_instance_reads_for_the_others(play):
+    async def scenario(fleet):
+        await asyncio.sleep(20.0)
+        assert fleet.registry.calls['reader'] > 20
+        assert fleet.registry.calls.get('second', 0) <= 1
+        assert fleet.states('second') == {'r1': False}
+
+    play(scenario)
+
+
+def test_draining_runner_is_known_to_all_in_time(play):
+    async def scenario(fleet):
+        fleet.registry.write('r1', 'draining')
+        await asyncio.sleep(DRAIN_S)
+        assert all(fleet.states(name)['r1'] for name in fleet.feeds)
+
+    play(scenario)
+
+
+def test_instance_without_a_reader_reads_by_itself_in_time(play):
+    async def scenario(fleet):
+        fleet.cut = {'reader'}
+        fleet.registry.write('r1', 'draining')
+        await asyncio.sleep(DRAIN_S)
+        assert fleet.states('second')['r1']
+        assert fleet.states('third')['r1']
+
+    play(scenario)
+
+
+def test_reader_that_the_registry_turns_away_is_told_by_others(play):
+    async def scenario(fleet):
+        fleet.registry.away = {'reader'}
+        fleet.registry.write('r1', 'draining')
+        await asyncio.sleep(DRAIN_S)
+        assert all(fleet.states(name)['r1'] for name in fleet.feeds)
+
+    play(scenario)
+
+
+def test_instance_that_missed_a_change_catches_up(play):
+    async def scenario(fleet):
+        fleet.cut = {'second'}
+        fleet.registry.write('r2')
+        fleet.registry.write('r1', '')
+        await asyncio.sleep(0.9)
+        fleet.cut = set()
+        await asyncio.sleep(1.0)
+        assert fleet.states('second') == {'r2': False}
+        assert fleet.registry.calls.get('second', 0) <= 1
+
+    play(scenario)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -256,6 +256,27 @@
     run_virtual(loop, scenario())
 
 
+def test_instances_find_each_other_again_after_a_cut(root_json):
+    """Found by reading: who was removed during a cut was never dialled."""
+    loop, fleet = open_fleet(root_json)
+
+    async def scenario():
+        start_instances(fleet, per_domain=7)
+        await asyncio.sleep(3)
+        names = sorted(fleet.instances)
+        for one in names[:3]:
+            for other in names[3:]:
+                fleet.network.cut(one, other)
+        await asyncio.sleep(6)
+        assert fleet.instances[names[0]].describe().live == names[:3]
+        fleet.network.heal()
+        await asyncio.sleep(6)
+        for instance in fleet.instances.values():
+            assert instance.describe().live == names
+
+    run_virtual(loop, scenario())
+
+
 def test_refusal_after_an_attempt_that_ran_is_not_called_not_run(root_json):
     """Found by the fuzzer: the second attempt's refusal hid the first's run."""
     loop, fleet = open_fleet(root_json, runners=1)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -38,3 +38,33 @@
     member.note_news(News('e2', 3, Status.LEFT.value), 1.0)
     member.note_life('e2', 4, 5.0)
     assert member.live == ['e1', 'e2']
+
+
+def test_instance_watched_anew_is_not_judged_by_earlier_silence(member):
+    """Found by reading: who moved up on the ring was declared dead at once."""
+    names = [f'e{number}' for number in range(2, 10)]
+    for name in names:
+        member.note_life(name, 3, 0.0)
+    for tick in range(1, 30):
+        for name in member.list_watched():
+            member.note_life(name, 3, float(tick))
+        assert member.check_watched(float(tick)) == []
+    member.note_news(News('e2', 3, Status.LEFT.value), 29.5)
+    assert member.check_watched(30.0) == []
+
+
+def test_number_of_watched_does_not_grow_with_the_region(member):
+    for number in range(300):
+        member.note_life(f'e{number}', 3, 0.0)
+    assert len(member.list_watched()) == 3
+    assert len(member.list_watchers()) == 3
+    assert len(member.list_linked()) == 9
+
+
+def test_who_wrongly_counts_as_dead_is_doubted_not_declared_dead(member):
+    member.note_list({'e2'}, 0.0)
+    member.note_news(News('e2', 3, Status.DEAD.value), 1.0)
+    assert member.doubt_lost() == [News('e2', 3, Status.SUSPECT.value)]
+    member.note_news(News('e2', 4, Status.ALIVE.value), 2.0)
+    assert member.doubt_lost() == []
+    assert member.is_live('e2')
