Fill runners in orders of their own while the owner is out of reach

Cause: instances that decide for themselves (the owner is silent or cut off) all began with the same runner of the sorted list, since none knows of the others' grants. With 79 instances that is 79 requests on a runner of 12 slots. Ruled out: a smaller share of the slots (it is one a runner already).

Change: the order in which a fallback's shard fills runners is shuffled by the instance's name; the places are worked out when the runners change, no longer for each request.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -160,6 +160,7 @@
             self._take_fallback_answer,
             policy,
             patience,
+            name,
         )
 
     @property
@@ -300,7 +301,7 @@
         share = 1.0 / max(1, len(self._directory.live))
         pending.target = _FALLBACK
         pending.queued = False
-        self._fallback.ask(self._name, pending.ask, share)
+        self._fallback.ask(pending.ask, share)
 
     def _spill(self, pending: _Pending) -> bool:
         """Ask the next owner in another region; return whether one was."""
@@ -371,7 +372,7 @@
 
     def _report(self, target: str, message: Progress | Release) -> None:
         if target == _FALLBACK:
-            self._fallback.report(self._name, message)
+            self._fallback.report(message)
         elif target == self._name:
             self.owner.handle(self._name, message)
         else:
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -25,7 +25,7 @@
     again: one request pays for the discovery, not each of them.
     """
 
-    __slots__ = ('_mute', '_patience', 'owner')
+    __slots__ = ('_mute', '_name', '_patience', 'owner')
 
     def __init__(
         self,
@@ -33,25 +33,29 @@
         deliver: Deliver,
         policy: str,
         patience: Patience,
+        name: str,
     ) -> None:
-        """Start without shards."""
+        """Start without shards.
+
+        :param name: this instance; others fill the runners in other orders.
+        """
+        self._name = name
         self._patience = patience
         self._mute: set[str] = set()
-        self.owner = Owner(clock, deliver, policy)
+        self.owner = Owner(clock, deliver, policy, salt=name)
 
-    def ask(self, name: str, ask: Ask, share: float) -> None:
+    def ask(self, ask: Ask, share: float) -> None:
         """Decide on a request.
 
-        :param name: this instance.
         :param share: share of the slots to use.
         """
         self.owner.take_over(ask.pool, (), share)
         self.owner.set_share(ask.pool, share)
-        self.owner.handle(name, ask)
+        self.owner.handle(self._name, ask)
 
-    def report(self, name: str, message: Progress | Release) -> None:
+    def report(self, message: Progress | Release) -> None:
         """Take in what became of a request that was granted here."""
-        self.owner.handle(name, message)
+        self.owner.handle(self._name, message)
 
     def is_overdue(self, waited_s: float) -> bool:
         """Return whether an owner's first answer takes too long."""
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -53,6 +53,7 @@
     :param clock: source of time.
     :param deliver: sends a message to an instance, this one included.
     :param settling_s: seconds that a new owner waits for inventories.
+    :param salt: shuffles the order in which runners are filled.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         '_deliver',
         '_owned',
         '_policy',
+        '_salt',
         '_seats',
         '_settling_s',
         '_tree',
@@ -71,8 +73,10 @@
         deliver: Deliver,
         policy: str = DEFAULT_POLICY,
         settling_s: float = defaults.SETTLING_S,
+        salt: str = '',
     ) -> None:
         """Start owning nothing."""
+        self._salt = salt
         self._settling_s = settling_s
         self._policy = POLICIES.get(policy)
         self._clock = clock
@@ -126,7 +130,7 @@
         """
         if pool in self._owned or pool not in self._tree.pools:
             return
-        shard = Shard(pool, self._tree, self._policy)
+        shard = Shard(pool, self._tree, self._policy, self._salt)
         shard.set_share(share)
         shard.set_runners(self._seats.get(pool, ()))
         until = self._clock.monotonic() + self._settling_s
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -1,5 +1,6 @@
 """The runners of one shard, and the choice among them."""
 
+import hashlib
 from collections.abc import Iterable
 
 import msgspec
@@ -28,19 +29,26 @@
     """Runners by name.
 
     :param policy: which mechanisms are at work.
+    :param salt: shuffles the order in which runners are filled; instances that
+        decide without knowing of each other's grants use different ones.
     """
 
     __slots__ = (
         '_calibration',
+        '_places',
         '_placement',
         '_policy',
         '_pool',
+        '_salt',
         'runners',
         'share',
     )
 
-    def __init__(self, policy: Policy, pool: Pool) -> None:
+    def __init__(self, policy: Policy, pool: Pool, salt: str = '') -> None:
         """Start with no runners."""
+        self._salt = salt
+        #: Place of each runner in the order of filling, from 0 to 1.
+        self._places: dict[str, float] = {}
         self._policy = policy
         self._pool = pool
         self._placement = PLACEMENTS.get(policy.placement)
@@ -78,6 +86,7 @@
                 self.drop_if_done(self.runners[name])
         for seat in wanted.values():
             self._set_seat(seat)
+        self._rank_runners()
 
     def find_work(self, request_id: str) -> tuple[Runner, Work] | None:
         """Return the runner and the account of a granted request."""
@@ -91,6 +100,7 @@
         """Forget a runner that takes no new work and has none left."""
         if runner.leaving and not runner.works:
             self.runners.pop(runner.name, None)
+            self._rank_runners()
 
     def calibrate(self) -> None:
         """Take over the runners' present speeds as the pool's typical one."""
@@ -129,14 +139,13 @@
         candidates = preferred or fitting
         if not candidates:
             return None
-        ranks = self._rank_runners()
         return min(
             candidates,
             key=lambda runner: self._placement(
                 runner,
                 ask,
                 work,
-                ranks[runner.name],
+                self._places[runner.name],
                 now,
             ),
         )
@@ -174,9 +183,13 @@
         ]
         return self._policy.calibrate and sum(staying) * 2 > len(staying)
 
-    def _rank_runners(self) -> dict[str, float]:
+    def _rank_runners(self) -> None:
         last = max(1, len(self.runners) - 1)
-        return {
-            name: place / last
-            for place, name in enumerate(sorted(self.runners))
-        }
+        names = sorted(self.runners, key=self._get_turn)
+        self._places = {name: place / last for place, name in enumerate(names)}
+
+    def _get_turn(self, name: str) -> tuple[bytes, str]:
+        if not self._salt:
+            return b'', name
+        text = f'{self._salt}|{name}'.encode()
+        return hashlib.blake2b(text, digest_size=8).digest(), name
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -76,8 +76,12 @@
         pool_name: str,
         tree: Tree,
         policy: Policy | None = None,
+        salt: str = '',
     ) -> None:
-        """Start with no runners."""
+        """Start with no runners.
+
+        :param salt: shuffles the order in which runners are filled.
+        """
         self._policy = policy or POLICIES.get(DEFAULT_POLICY)
         self._pool_name = pool_name
         self._queue = PoolQueue(self._policy)
@@ -89,7 +93,7 @@
         #: Tokens granted so far, and those read again because of pauses.
         self._granted_tokens = 0
         self._redone_tokens = 0
-        self._roster = Roster(self._policy, tree.pools[pool_name])
+        self._roster = Roster(self._policy, tree.pools[pool_name], salt)
         self.set_tree(tree)
 
     @property
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -189,3 +189,31 @@
     shard.set_runners(seats)
     renewed = load.shard.runners[runner.name]
     assert renewed is not runner
+
+
+def test_instances_cut_off_from_the_owner_fill_different_runners_first(engines):
+    """Pattern: many instances lose the owner and each decides for itself."""
+    seats = [Seat(f'r{place}', f'a{place}') for place in range(20)]
+    first = set()
+    for number in range(10):
+        shard = Shard('llm', engines, POLICIES.get('relay'), f'e{number}')
+        shard.set_share(0.1)
+        shard.set_runners(seats)
+        load = _Load(shard)
+        first.add(load.granted[load.ask('question', 0.0)])
+    assert len(first) >= 5
+
+
+def test_session_comes_back_to_the_runner_that_has_read_it(shard):
+    """Pattern: many sessions, each of which returns within seconds."""
+    load = _Load(shard)
+    homes = {}
+    for number in range(8):
+        parts = (('dossiers', 2500), (f'session-{number}', 3800))
+        name = load.ask('document', float(number), parts)
+        homes[parts] = load.granted[name]
+        load.end(name, number + 0.9)
+    for place, (parts, home) in enumerate(homes.items()):
+        name = load.ask('document', 10.0 + place, parts)
+        assert load.granted[name] == home
+        load.end(name, 10.9 + place)
