Hand beliefs about cached prompts over to a new owner

Ruled out: memory of the runners (two thirds of it would hold all sessions).

Inventories go over a link that comes up only if it leads to the owner; before, each link that came up anywhere sent one for each pool.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -19,11 +19,13 @@
     Inventory,
     Progress,
     Queued,
+    Read,
     Refusal,
     Release,
 )
 from anvilhall.core.owner import NOT_OWNER, Owner, OwnerMessage
 from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.reads import RecentReads
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import (
     NoRunner,
@@ -120,6 +122,7 @@
         '_name',
         '_owners',
         '_pending',
+        '_reads',
         '_running',
         '_send',
         'on_wait',
@@ -146,6 +149,7 @@
         self._owners: dict[str, str | None] = {}
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
+        self._reads = RecentReads()
         #: Called when a request begins to wait for an answer.
         self.on_wait: Callable[[], None] = _ignore
         #: The shards that this instance owns; its own answers come directly.
@@ -157,7 +161,7 @@
         )
         self._fallback = Fallback(
             clock,
-            self._take_fallback_answer,
+            lambda _, message: self.take_answer(_FALLBACK, message),
             policy,
             patience,
             name,
@@ -237,7 +241,21 @@
             for running in self._running.values()
             if running.ask.pool == pool and running.grant.runner in seats
         )
-        return Inventory(pool=pool, held=held)
+        reads = tuple(
+            read
+            for read in self._reads.list_reads(pool)
+            if read.runner in seats
+        )
+        return Inventory(pool=pool, held=held, reads=reads)
+
+    def note_link(self, instance: str) -> None:
+        """Tell an instance that can be reached again what runs in its shards.
+
+        :param instance: the other side of a new link.
+        """
+        for pool, owner in self._owners.items():
+            if owner == instance:
+                self.report_inventory(pool)
 
     def report_inventory(self, pool: str) -> None:
         """Tell the owner of the own region's shard what is running."""
@@ -345,6 +363,7 @@
         if pending.target != sender:
             self._tell_withdrawn(pending)
         self._running[grant.request_id] = _Running(pending, grant, sender)
+        self._reads.note(grant.pool, Read(grant.runner, pending.ask.parts))
         pending.ticket.take_grant(grant)
 
     def _take_refusal(self, sender: str, refusal: Refusal) -> None:
@@ -418,9 +437,6 @@
         else:
             self._forward(instance, message)
 
-    def _take_fallback_answer(self, _: str, message: OwnerMessage) -> None:
-        self.take_answer(_FALLBACK, message)
-
 
 def _is_home(running: _Running, directory: Directory) -> bool:
     """Return whether a request runs on a runner of the own region."""
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -113,11 +113,21 @@
     tokens: int
 
 
+class Read(_Message, frozen=True):
+    """A prompt that a runner has read for an instance's request."""
+
+    runner: str
+    #: Parts that other requests may share, as in :class:`Ask`.
+    parts: tuple[tuple[str, int], ...]
+
+
 class Inventory(_Message, frozen=True):
-    """All that an instance has running in one shard."""
+    """All that an instance has running in one shard, and had read there."""
 
     pool: str
     held: tuple[Held, ...]
+    #: Latest prompts, the oldest one first.
+    reads: tuple[Read, ...] = ()
 
 
 class Challenge(_Message, frozen=True):
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -198,6 +198,8 @@
             owned.awaited.discard(sender)
             for held in message.held:
                 shard.adopt(sender, held, now)
+            for read in message.reads:
+                shard.adopt_read(read)
 
     def _dispatch(self, owned: _Owned) -> None:
         now = self._clock.monotonic()
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -227,7 +227,7 @@
         if self.suspect:
             self.health.probing = work.request_id
         if self._policy.use_prefixes:
-            self._remember_parts(ask)
+            self.remember_parts(ask.parts)
 
     def remove_work(self, request_id: str) -> Work | None:
         """Free the slot of a request."""
@@ -402,9 +402,9 @@
             return False
         return len(others) < long_slots
 
-    def _remember_parts(self, ask: Ask) -> None:
-        """Take the prompt's parts for cached; the oldest ones yield."""
-        for part, tokens in ask.parts:
+    def remember_parts(self, parts: tuple[tuple[str, int], ...]) -> None:
+        """Take a prompt's parts for cached; the oldest ones yield."""
+        for part, tokens in parts:
             self._cached_tokens += tokens - self._prefixes.pop(part, 0)
             self._prefixes[part] = tokens
         while self._prefixes and (
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -18,6 +18,7 @@
     Held,
     Pause,
     Progress,
+    Read,
     Refusal,
     Release,
 )
@@ -234,6 +235,12 @@
         self._senders[held.request_id] = sender
         self._admission.adopt(held.account, held.class_name)
 
+    def adopt_read(self, read: Read) -> None:
+        """Take over what an earlier owner believed to be cached."""
+        runner = self.runners.get(read.runner)
+        if runner and self._policy.use_prefixes:
+            runner.remember_parts(read.parts)
+
     def drop_sender(self, sender: str) -> None:
         """Forget all requests of an instance that is gone."""
         for request_id, owner in list(self._senders.items()):
@@ -368,7 +375,7 @@
             work
             for runner in self.runners.values()
             for work in runner.works.values()
-            if work.tier > tier and self._may_pause(work)
+            if work.tier > tier and _may_pause(work, self._tree)
         ]
         if not victims or self.paused:
             return []
@@ -381,12 +388,6 @@
         sender = self._senders.get(victim.request_id, '')
         return [Action(sender, Pause(victim.request_id))]
 
-    def _may_pause(self, work: Work) -> bool:
-        settings = self._tree.classes.get(work.class_name)
-        if settings is None:
-            return False
-        return settings.preemptible and settings.resumable
-
     def _count_spare_slots(self, tier: int, wall: dt.datetime) -> int:
         if not self._policy.reserve:
             return 0
@@ -407,6 +408,13 @@
         self._admission.leave(account, class_name)
 
 
+def _may_pause(work: Work, tree: Tree) -> bool:
+    settings = tree.classes.get(work.class_name)
+    if settings is None:
+        return False
+    return settings.preemptible and settings.resumable
+
+
 def _get_order(settings: ClassSettings) -> tuple[int, int]:
     return settings.tier, settings.rank
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -274,8 +274,7 @@
         if self._leaving:
             # Who was started just now has not heard of it.
             self._spread([self._membership.leave()])
-        for pool in self._tree.pools:
-            self.broker.report_inventory(pool)
+        self.broker.note_link(name)
 
     def _note_down(self, name: str) -> None:
         if name in self._links.names:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -6,7 +6,14 @@
 from anvilhall.core.directory import Directory
 from anvilhall.core.fallback import Patience
 from anvilhall.core.members import Member, MemberList
-from anvilhall.core.messages import Ask, Grant, Queued, Refusal, Release
+from anvilhall.core.messages import (
+    Ask,
+    Grant,
+    Inventory,
+    Queued,
+    Refusal,
+    Release,
+)
 from anvilhall.core.owner import NOT_OWNER
 
 PATIENCE = Patience(answer_s=0.06, settling_s=0.0)
@@ -157,3 +164,30 @@
     granted = [ticket for ticket in tickets if ticket.grant]
     slots = asking.tree.pools['desk'].slots
     assert 1 <= len(granted) <= slots // 2
+
+
+def test_new_owner_is_told_what_runners_have_read(asking):
+    """Pattern: the owner is restarted while sessions go on."""
+    session = (('sheet', 2500), ('session', 3800))
+    ask = Ask('desk', 'q1', 'lookup', 'ann', 9000, 1, 10.0, parts=session)
+    asking.broker.ask(ask, _Ticket())
+    grant = Grant('desk', 'q1', 'r1', 'a:1', 0)
+    asking.broker.take_answer(asking.owner, grant)
+    asking.broker.release(Release('desk', 'q1', served=True))
+    asking.sent.clear()
+    asking.directory.set_live(sorted({'e1', 'e2', 'e3'} - {asking.owner}))
+    asking.broker.refresh(asking.tree)
+    ((receiver, inventory),) = asking.sent
+    assert receiver not in {'e1', asking.owner}
+    assert isinstance(inventory, Inventory)
+    (read,) = inventory.reads
+    assert (read.runner, read.parts) == ('r1', session)
+
+
+def test_link_that_comes_up_costs_no_message_to_other_owners(asking):
+    asking.sent.clear()
+    for name in {'e2', 'e3'} - {asking.owner}:
+        asking.broker.note_link(name)
+    assert asking.sent == []
+    asking.broker.note_link(asking.owner)
+    assert len(asking.sent) == 1
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from anvilhall.core.messages import Ask, Grant, Progress, Refusal, Release
+from anvilhall.core.messages import (
+    Ask,
+    Grant,
+    Progress,
+    Read,
+    Refusal,
+    Release,
+)
 from anvilhall.core.policies import POLICIES
 from anvilhall.core.profiles import build_class_fields, build_engine_pool
 from anvilhall.core.roster import Seat
@@ -217,3 +224,11 @@
         name = load.ask('document', 10.0 + place, parts)
         assert load.granted[name] == home
         load.end(name, 10.9 + place)
+
+
+def test_new_owner_sends_a_session_to_the_runner_that_has_read_it(shard):
+    """Pattern: owners are restarted in turn while sessions go on."""
+    parts = (('dossiers', 2500), ('session', 3800))
+    shard.adopt_read(Read('r2', parts))
+    load = _Load(shard)
+    assert load.granted[load.ask('document', 0.0, parts)] == 'r2'
