--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -272,6 +272,12 @@
     async def _follow(self) -> None:
         first = self.measure_age_s() is None
         await self._wait_turn()
+        if not self.lost:
+            note_change(
+                'registry_read',
+                reader=self._is_reader(),
+                age_s=self.measure_age_s(),
+            )
         page = await self._store.list_newest(self._topic)
         self._apply(page, complete=True, spread=not first)
         while self._is_reader():
