--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds.py
@@ -46,7 +46,7 @@
 #: two reads, and still within those two seconds.
 _READER_LATE_S = 1.6
 #: Seconds between looks at whether that is so.
-_LOOK_S = 0.1
+_LOOK_S = 0.2
 #: Seconds before a failed read is repeated; up to twice as long.
 _RETRY_S = 0.25
 #: Seconds from the start to the looks for other instances, and between looks
