--- a/src/anvilhall/core/health.py
+++ b/src/anvilhall/core/health.py
@@ -3,6 +3,7 @@
 import statistics
 from collections.abc import Iterable
 
+from anvilhall.core.limits import TokenBucket
 from anvilhall.exceptions import (
     UpstreamFull,
     UpstreamRefused,
@@ -26,6 +27,9 @@
 _ERROR_WEIGHT = 0.34
 #: Share of errors from which a runner counts as failing: two in a row.
 _ERROR_LIMIT = 0.5
+#: Gaps beyond their target that streams of higher tiers bear for prefill of
+#: lower ones, a second and runner; a gap of each stream counts.
+_LONG_GAPS_PER_S = 0.1
 #: Failures after which a runner gets single probes at once.
 _HARD_FAILURES = frozenset(
     (UpstreamRefused.code, UpstreamReplaced.code, UpstreamStalled.code),
@@ -39,7 +43,7 @@
 class Calibration:
     """What the runners of one pool have in common."""
 
-    __slots__ = ('base_s', 'typical_slowdown')
+    __slots__ = ('base_s', 'long_gaps', 'typical_slowdown')
 
     def __init__(self) -> None:
         """Start from the settings' figures."""
@@ -47,6 +51,14 @@
         self.base_s = 0.0
         #: Median slowdown of the pool's runners.
         self.typical_slowdown = 1.0
+        #: Late gaps that streams of higher tiers are made to bear. One
+        #: allowance for all runners, so that the runner with the fewest
+        #: such streams bears them, and not each runner in turn.
+        self.long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
+
+    def set_size(self, runners: int) -> None:
+        """Take over the number of the pool's runners."""
+        self.long_gaps.rate = _LONG_GAPS_PER_S * max(1, runners)
 
     def note_excess(self, excess_s: float) -> None:
         """Learn from a time to the first token, less its prediction."""
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -86,6 +86,7 @@
                 self.drop_if_done(self.runners[name])
         for seat in wanted.values():
             self._set_seat(seat)
+        self._calibration.set_size(len(self.runners))
         self._rank_runners()
 
     def find_work(self, request_id: str) -> tuple[Runner, Work] | None:
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from anvilhall.core.health import Calibration, Health
-from anvilhall.core.limits import Flow, TokenBucket
+from anvilhall.core.limits import Flow
 from anvilhall.core.messages import Ask
 from anvilhall.core.policies import Policy
 from anvilhall.core.settings import Pool
@@ -27,8 +27,6 @@
 _DUTY_LIMIT = 0.9
 #: Time over which the flow of prompt tokens is averaged, in seconds.
 _FLOW_S = 1.0
-#: Gaps beyond their target that a runner's higher tiers are made to bear.
-_LONG_GAPS_PER_S = 0.1
 
 
 class Aims(msgspec.Struct, frozen=True):
@@ -97,7 +95,6 @@
         '_cached_tokens',
         '_calibration',
         '_held_tokens',
-        '_long_gaps',
         '_policy',
         '_pool',
         '_prefill_flow',
@@ -146,7 +143,6 @@
             collections.Counter()
         )
         self._prefill_flow = Flow(_FLOW_S)
-        self._long_gaps = TokenBucket(_LONG_GAPS_PER_S, 0)
 
     @property
     def suspect(self) -> bool:
@@ -362,7 +358,10 @@
         return _COLLISION_S * len(targets)
 
     def _count_long_gaps(self, work: Work) -> int:
-        """Return how many gaps beyond their target a prefill would cause."""
+        """Return how many late gaps a prefill would cause.
+
+        Each gap counts once for each stream of a higher tier that has it.
+        """
         targets = [
             other.aims.gap_s
             for other in self.works.values()
@@ -374,17 +373,18 @@
         turn_s = min(longest_s, prefill_s + self._predict_backlog_s())
         if not targets or turn_s + self._predict_step_s() <= min(targets):
             return 0
-        return math.ceil(work.prefill_tokens / chunk)
+        gaps = math.ceil(work.prefill_tokens / chunk)
+        return gaps * len(targets)
 
     def _has_gaps_to_spare(self, work: Work, now: float) -> bool:
         gaps = self._count_long_gaps(work)
-        return not gaps or self._long_gaps.wait_s(gaps, now) <= 0
+        return not gaps or self._calibration.long_gaps.wait_s(gaps, now) <= 0
 
     def _spend_gaps(self, work: Work, now: float) -> None:
         gaps = self._count_long_gaps(work)
         if gaps:
-            self._long_gaps.wait_s(gaps, now)
-            self._long_gaps.take(gaps)
+            self._calibration.long_gaps.wait_s(gaps, now)
+            self._calibration.long_gaps.take(gaps)
 
     def _has_room_for_long(self, work: Work) -> bool:
         long_slots = self._pool.long_slots
