--- /dev/null
+++ b/src/anvilhall/feeds/__init__.py
@@ -0,0 +1,1 @@
+"""Feeds that keep settings, runners and instances up to date."""
--- a/src/anvilhall/feeds.py
+++ b/src/anvilhall/feeds/runners.py
@@ -1,4 +1,4 @@
-"""Feeds that keep settings, runners and instances up to date."""
+"""Feed of the runner registry."""
 
 import asyncio
 import random
@@ -7,38 +7,19 @@
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
 from anvilhall.core.messages import RunnerNews, RunnersOffer, RunnersRead
-from anvilhall.core.routes import RoutingSettings
 from anvilhall.core.views import RunnerView
-from anvilhall.exceptions import (
-    AppendUncertain,
-    LogUnavailable,
-    PlatformError,
-    RecordsExpired,
-    SettingsError,
-    UnusableEntry,
-)
+from anvilhall.exceptions import LogUnavailable, UnusableEntry
+from anvilhall.feeds.base import Feed
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
-from anvilhall.platform.registration import (
-    decode_instance,
-    decode_runner,
-    encode_instance,
-)
-from anvilhall.platform.settings import decode_settings
+from anvilhall.platform.registration import decode_runner
 from anvilhall.platform.store import (
-    CONFIG_KEY,
-    CONFIG_TOPIC,
-    INSTANCES_TOPIC,
     RUNNERS_TOPIC,
     KeyedPage,
     KeyedRecord,
     StoreClient,
 )
 
-#: Seconds of a long poll for settings: on the reader of a failure domain, and
-#: on other instances, which get new versions from peers as well.
-_READER_POLL_S = 10.0
-_FOLLOWER_POLL_S = 25.0
 #: Seconds between reads of the runner registry. A draining runner must get no
 #: more requests after two seconds; two reads fit into that time.
 _RUNNERS_INTERVAL_S = 0.8
@@ -48,150 +29,9 @@
 _MAX_VIEW_AGE_S = 1.6
 #: Seconds between checks of that age.
 _AGE_CHECK_S = 0.2
-#: Seconds before a failed read is retried; jitter extends them up to twofold.
-_RETRY_DELAY_S = 0.25
-#: Seconds from the start to the first reads of the instance list, and seconds
-#: between later reads: on the reader of a failure domain, and on others. The
-#: intervals may be long, because links announce new instances sooner.
-_FIRST_READS_S = (0.5, 4.0)
-_READER_INTERVAL_S = 15.0
-_FOLLOWER_INTERVAL_S = 60.0
-
-
-class _Feed:
-    """Base of the feeds: reads a topic and retries after failures."""
-
-    __slots__ = (
-        '_clock',
-        '_metrics',
-        '_rng',
-        '_store',
-        '_topic',
-        'unreachable',
-    )
-
-    def __init__(
-        self,
-        topic: str,
-        store: StoreClient,
-        clock: Clock,
-        metrics: Metrics,
-        rng: random.Random,
-    ) -> None:
-        self._topic = topic
-        self._store = store
-        self._clock = clock
-        self._metrics = metrics
-        self._rng = rng
-        #: Whether the last call to the store failed.
-        self.unreachable = False
-
-    async def run(self) -> None:
-        """Follow the topic until cancelled."""
-        while True:
-            try:
-                await self._follow_topic()
-            except RecordsExpired:
-                log_event('history_expired', topic=self._topic)
-            except LogUnavailable as error:
-                self._record_failure(error)
-                await self._back_off()
-
-    async def _follow_topic(self) -> None:
-        raise NotImplementedError
-
-    async def _back_off(self) -> None:
-        await asyncio.sleep(_RETRY_DELAY_S * (1 + self._rng.random()))
-
-    def _record_failure(self, error: PlatformError) -> None:
-        self._metrics.platform_failures.labels(self._topic, error.code).inc()
-        if not self.unreachable:
-            self.unreachable = True
-            log_event('store_lost', topic=self._topic, reason=error.reason)
-
-    def _record_success(self) -> None:
-        if self.unreachable:
-            self.unreachable = False
-            log_event('store_regained', topic=self._topic)
-
-
-class SettingsFeed(_Feed):
-    """Follows the routing settings and keeps their newest version."""
-
-    __slots__ = ('_is_reader', '_on_change', 'settings')
-
-    def __init__(
-        self,
-        store: StoreClient,
-        clock: Clock,
-        metrics: Metrics,
-        rng: random.Random,
-        on_change: Callable[[RoutingSettings], None],
-        is_reader: Callable[[], bool],
-    ) -> None:
-        """Start without settings.
-
-        :param on_change: called with each newer version.
-        :param is_reader: returns whether this instance is the reader of its
-            failure domain.
-        """
-        super().__init__(CONFIG_TOPIC, store, clock, metrics, rng)
-        self._is_reader = is_reader
-        self._on_change = on_change
-        self.settings: RoutingSettings | None = None
-
-    @property
-    def version(self) -> int:
-        """Current version; -1: none."""
-        return self.settings.version if self.settings else -1
 
-    def apply(self, encoded: bytes, source: str) -> None:
-        """Apply a version if it is newer than the current one.
 
-        :param encoded: the settings as JSON.
-        :param source: for the log: ``store`` or the name of an instance.
-        """
-        try:
-            settings = decode_settings(encoded)
-        except SettingsError as error:
-            log_event('settings_refused', source=source, reason=error.reason)
-            self._metrics.publications.labels(error.code).inc()
-            return
-        if settings.version <= self.version:
-            return
-        log_event(
-            'settings_in_force',
-            version=settings.version,
-            before=self.version,
-            source=source,
-        )
-        self.settings = settings
-        self._metrics.settings_version.set(settings.version)
-        self._on_change(settings)
-
-    async def _follow_topic(self) -> None:
-        page = await self._store.list_newest(self._topic)
-        self._apply_page(page)
-        while True:
-            poll_s = _READER_POLL_S if self._is_reader() else _FOLLOWER_POLL_S
-            page = await self._store.read(
-                self._topic,
-                page.next_offset,
-                poll_s,
-            )
-            self._apply_page(page)
-
-    def _apply_page(self, page: KeyedPage) -> None:
-        self._record_success()
-        newest: bytes | None = None
-        for record in page.records:
-            if record.key == CONFIG_KEY and record.content is not None:
-                newest = record.content
-        if newest is not None:
-            self.apply(newest, 'store')
-
-
-class RunnersFeed(_Feed):
+class RunnersFeed(Feed):
     """Keeps the view of the runners up to date.
 
     One instance of each failure domain, the reader, polls the registry and
@@ -386,72 +226,6 @@
             self._view.put(runner, record.offset)
 
 
-class InstancesFeed(_Feed):
-    """Registers this instance and discovers the others."""
-
-    __slots__ = ('_is_reader', '_on_change', '_own', 'members')
-
-    def __init__(
-        self,
-        own: Member,
-        store: StoreClient,
-        clock: Clock,
-        metrics: Metrics,
-        rng: random.Random,
-        on_change: Callable[[tuple[Member, ...]], None],
-        is_reader: Callable[[], bool],
-    ) -> None:
-        """Start with this instance only.
-
-        :param on_change: called with all instances after a change.
-        :param is_reader: returns whether this instance is the reader of its
-            failure domain.
-        """
-        self._is_reader = is_reader
-        super().__init__(INSTANCES_TOPIC, store, clock, metrics, rng)
-        self._own = own
-        self._on_change = on_change
-        self.members: tuple[Member, ...] = (own,)
-
-    async def _follow_topic(self) -> None:
-        await self._register()
-        started_at = self._clock.monotonic()
-        for due_s in _FIRST_READS_S:
-            waited_s = self._clock.monotonic() - started_at
-            await asyncio.sleep(max(0.0, due_s - waited_s))
-            await self._discover()
-        while True:
-            reader = self._is_reader()
-            pause_s = _READER_INTERVAL_S if reader else _FOLLOWER_INTERVAL_S
-            await asyncio.sleep(pause_s)
-            await self._discover()
-
-    async def _register(self) -> None:
-        try:
-            await self._store.put(self._topic, encode_instance(self._own))
-        except AppendUncertain as error:
-            # Retrying is safe: the entry would be written unchanged.
-            raise LogUnavailable(error.reason) from error
-
-    async def _discover(self) -> None:
-        page = await self._store.list_newest(self._topic)
-        self._record_success()
-        found = {self._own.name: self._own}
-        for record in page.records:
-            if record.content is None:
-                continue
-            try:
-                member = decode_instance(record)
-            except UnusableEntry as error:
-                log_event('entry_unusable', reason=error.reason)
-                continue
-            found.setdefault(member.name, member)
-        members = tuple(found[name] for name in sorted(found))
-        if members != self.members:
-            self.members = members
-            self._on_change(members)
-
-
 def _log_runner_changes(
     before: Iterable[Member],
     after: Iterable[Member],
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -21,7 +21,9 @@
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.exceptions import PeerUnreachable
-from anvilhall.feeds import InstancesFeed, RunnersFeed, SettingsFeed
+from anvilhall.feeds.instances import InstancesFeed
+from anvilhall.feeds.runners import RunnersFeed
+from anvilhall.feeds.settings import SettingsFeed
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.links import Links
 from anvilhall.local import LocalConfig, RelayConfig, split_address
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -9,7 +9,7 @@
 
 from anvilhall.core.messages import RunnerNews
 from anvilhall.exceptions import LogUnavailable
-from anvilhall.feeds import RunnersFeed
+from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.metrics import Metrics
 from anvilhall.platform.store import KeyedPage, KeyedRecord
 from anvilhall_standins.virtualloop import LoopClock, VirtualLoop
