Poll for settings on one instance of each failure domain

Cause: every instance held a long poll, so that each version and each 25 s cost one call an instance, and all instances retried a store that was away each 0.25 to 0.5 s. A burst of versions was decoded by each instance once for the store and once for each peer that had it first. Change: the reader of a domain polls and says so with each read of the registry; others poll only while no such report comes (1.6 s). Versions are passed on compressed, one peer is asked for a version at a time, the version is decoded before the rest, and versions in quick succession are put in force at most every 0.25 s. Delays between retries double up to 1 to 2 s, but not on readers. The list of instances is read again after 4 s by readers only, and an instance does not register again after a failed read.

--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -195,6 +195,8 @@
     covers: int
     #: Digest of the view; see :class:`anvilhall.core.views.RunnerView`.
     digest: int
+    #: Version of the settings at the sender if it polls them itself, else -1.
+    settings_version: int = -1
 
 
 class RunnersAsk(_Message, frozen=True):
@@ -226,6 +228,7 @@
 class SettingsOffer(_Message, frozen=True):
     """Carries a snapshot of the settings, encoded as JSON."""
 
+    #: May be compressed with zlib.
     snapshot: bytes
 
 
--- a/src/anvilhall/core/routes.py
+++ b/src/anvilhall/core/routes.py
@@ -5,9 +5,14 @@
 import msgspec
 
 from anvilhall.core.tree import Tree
-from anvilhall.exceptions import UnknownPath
+from anvilhall.exceptions import PeerProtocolBroken, UnknownPath
 
 _CRC_RANGE = 1 << 32
+#: Fastest level of zlib: routes repeat their field names, so that even this one
+#: makes the settings about ten times smaller.
+_COMPRESSION_LEVEL = 1
+#: Largest size of decompressed settings, in bytes.
+_SETTINGS_LIMIT_BYTES = 16 * 1024 * 1024
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,7 +106,14 @@
 class RoutingSettings:
     """One version of the routes with the settings that they refer to."""
 
-    __slots__ = ('encoded', 'limits', 'table', 'tree', 'version')
+    __slots__ = (
+        '_compressed',
+        'encoded',
+        'limits',
+        'table',
+        'tree',
+        'version',
+    )
 
     def __init__(
         self,
@@ -113,10 +125,41 @@
     ) -> None:
         """Store the parts of the version.
 
-        :param encoded: serialized form in which instances exchange the version.
+        :param encoded: serialized form of the version.
         """
+        self._compressed: bytes | None = None
         self.version = version
         self.tree = tree
         self.table = table
         self.limits = limits
         self.encoded = encoded
+
+    @property
+    def compressed(self) -> bytes:
+        """Compressed serialized form, in which instances exchange versions."""
+        if self._compressed is None:
+            self._compressed = zlib.compress(self.encoded, _COMPRESSION_LEVEL)
+        return self._compressed
+
+
+def decompress_settings(snapshot: bytes) -> bytes:
+    """Return the serialized form of settings that a peer has sent.
+
+    :param snapshot: serialized form, compressed or, from instances of earlier
+        versions, not.
+    :raises PeerProtocolBroken: if it cannot be decompressed or is too large.
+    """
+    if snapshot.startswith(b'{'):
+        return snapshot
+    decompressor = zlib.decompressobj()
+    try:
+        encoded = decompressor.decompress(snapshot, _SETTINGS_LIMIT_BYTES)
+    except zlib.error as error:
+        raise PeerProtocolBroken(
+            f'settings are not compressed data: {error}',
+        ) from error
+    if not decompressor.eof:
+        raise PeerProtocolBroken(
+            f'settings are truncated or exceed {_SETTINGS_LIMIT_BYTES} bytes',
+        )
+    return encoded
--- a/src/anvilhall/feeds/base.py
+++ b/src/anvilhall/feeds/base.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from anvilhall.clock import Clock
 from anvilhall.exceptions import LogUnavailable, PlatformError, RecordsExpired
@@ -11,18 +12,28 @@
 
 #: Seconds before a failed read is retried; jitter extends them up to twofold.
 _RETRY_DELAY_S = 0.25
+#: Upper limit of that delay, which doubles with each further failure, on
+#: instances other than a reader. A reader notifies them of the store's return.
+_MAX_RETRY_DELAY_S = 1.0
+#: Seconds between checks whether a read is due.
+_DUE_CHECK_S = 0.2
 
 
 class Feed:
-    """Base of the feeds: reads a topic and retries after failures."""
+    """Base of the feeds: reads a topic and retries after failures.
+
+    One instance of each failure domain, the reader, polls the store on behalf
+    of the others.
+    """
 
     __slots__ = (
         '_clock',
+        '_failures',
+        '_is_reader',
         '_metrics',
         '_rng',
         '_store',
         '_topic',
-        'unreachable',
     )
 
     def __init__(
@@ -32,14 +43,26 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        is_reader: Callable[[], bool],
     ) -> None:
+        """Start without having read the topic.
+
+        :param is_reader: returns whether this instance is the reader of its
+            failure domain.
+        """
         self._topic = topic
         self._store = store
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
-        #: Whether the last call to the store failed.
-        self.unreachable = False
+        self._is_reader = is_reader
+        #: Calls to the store that have failed since the last success.
+        self._failures = 0
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._failures > 0
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -56,15 +79,25 @@
         raise NotImplementedError
 
     async def _back_off(self) -> None:
-        await asyncio.sleep(_RETRY_DELAY_S * (1 + self._rng.random()))
+        delay_s = _RETRY_DELAY_S
+        if not self._is_reader():
+            delay_s = min(
+                _MAX_RETRY_DELAY_S,
+                _RETRY_DELAY_S * 2 ** max(0, self._failures - 1),
+            )
+        await asyncio.sleep(delay_s * (1 + self._rng.random()))
+
+    async def _sleep_until_stale(self, age_s: float, limit_s: float) -> None:
+        """Sleep until state of this age may have reached its age limit."""
+        await asyncio.sleep(max(_DUE_CHECK_S, limit_s - age_s))
 
     def _record_failure(self, error: PlatformError) -> None:
         self._metrics.platform_failures.labels(self._topic, error.code).inc()
         if not self.unreachable:
-            self.unreachable = True
             log_event('store_lost', topic=self._topic, reason=error.reason)
+        self._failures += 1
 
     def _record_success(self) -> None:
         if self.unreachable:
-            self.unreachable = False
+            self._failures = 0
             log_event('store_regained', topic=self._topic)
--- a/src/anvilhall/feeds/instances.py
+++ b/src/anvilhall/feeds/instances.py
@@ -13,10 +13,13 @@
 from anvilhall.platform.registration import decode_instance, encode_instance
 from anvilhall.platform.store import INSTANCES_TOPIC, StoreClient
 
-#: Seconds from the start to the first reads of the instance list, and seconds
-#: between later reads: on the reader of a failure domain, and on others. The
-#: intervals may be long, because links announce new instances sooner.
-_FIRST_READS_S = (0.5, 4.0)
+#: Seconds from the registration to the first read of the instance list, in
+#: which instances that start at the same time register, and on the reader of a
+#: failure domain to the second read.
+_FIRST_READ_S = 0.5
+_SECOND_READ_S = 3.5
+#: Seconds between later reads: on the reader, and on others. The intervals may
+#: be long, because links announce new instances sooner.
 _READER_INTERVAL_S = 15.0
 _FOLLOWER_INTERVAL_S = 60.0
 
@@ -24,7 +27,7 @@
 class InstancesFeed(Feed):
     """Registers this instance and discovers the others."""
 
-    __slots__ = ('_is_reader', '_on_change', '_own', 'members')
+    __slots__ = ('_on_change', '_own', '_registered', 'members')
 
     def __init__(
         self,
@@ -39,21 +42,27 @@
         """Start with this instance only.
 
         :param on_change: called with all instances after a change.
-        :param is_reader: returns whether this instance is the reader of its
-            failure domain.
         """
-        self._is_reader = is_reader
-        super().__init__(INSTANCES_TOPIC, store, clock, metrics, rng)
+        super().__init__(
+            INSTANCES_TOPIC,
+            store,
+            clock,
+            metrics,
+            rng,
+            is_reader,
+        )
         self._own = own
+        self._registered = False
         self._on_change = on_change
         self.members: tuple[Member, ...] = (own,)
 
     async def _follow_topic(self) -> None:
-        await self._register()
-        started_at = self._clock.monotonic()
-        for due_s in _FIRST_READS_S:
-            waited_s = self._clock.monotonic() - started_at
-            await asyncio.sleep(max(0.0, due_s - waited_s))
+        if not self._registered:
+            await self._register()
+            await asyncio.sleep(_FIRST_READ_S)
+        await self._discover()
+        if self._is_reader():
+            await asyncio.sleep(_SECOND_READ_S)
             await self._discover()
         while True:
             reader = self._is_reader()
@@ -67,6 +76,7 @@
         except AppendUncertain as error:
             # Retrying is safe: the entry would be written unchanged.
             raise LogUnavailable(error.reason) from error
+        self._registered = True
 
     async def _discover(self) -> None:
         page = await self._store.list_newest(self._topic)
--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -27,8 +27,8 @@
 #: reader reads the registry itself: two missed reads, still within those two
 #: seconds.
 _MAX_VIEW_AGE_S = 1.6
-#: Seconds between checks of that age.
-_AGE_CHECK_S = 0.2
+#: Seconds between checks for deferred removals that are due.
+_REMOVAL_CHECK_S = 0.2
 
 
 class RunnersFeed(Feed):
@@ -40,7 +40,6 @@
     """
 
     __slots__ = (
-        '_is_reader',
         '_notify_peers',
         '_on_change',
         '_region',
@@ -63,12 +62,9 @@
         :param on_change: called with all runners after a change.
         :param notify_peers: sends a change, or the digest of the view after a
             read, to linked instances.
-        :param is_reader: returns whether this instance is the reader of its
-            failure domain.
         """
-        self._is_reader = is_reader
+        super().__init__(RUNNERS_TOPIC, store, clock, metrics, rng, is_reader)
         self._notify_peers = notify_peers
-        super().__init__(RUNNERS_TOPIC, store, clock, metrics, rng)
         self._region = region
         self._view = RunnerView()
         self._on_change = on_change
@@ -147,9 +143,12 @@
 
     async def _wait_until_due(self) -> None:
         while not self._is_read_due():
-            await asyncio.sleep(_AGE_CHECK_S)
             if self._view.has_pending_removals:
+                await asyncio.sleep(_REMOVAL_CHECK_S)
                 self._expire()
+            else:
+                age_s = self.measure_age_s() or 0.0
+                await self._sleep_until_stale(age_s, _MAX_VIEW_AGE_S)
 
     async def _read(self, offset: int) -> KeyedPage:
         while True:
--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -1,5 +1,6 @@
 """Feed of the routing settings."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -9,7 +10,7 @@
 from anvilhall.feeds.base import Feed
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
-from anvilhall.platform.settings import decode_settings
+from anvilhall.platform.settings import decode_settings, decode_version
 from anvilhall.platform.store import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -17,16 +18,38 @@
     StoreClient,
 )
 
-#: Seconds of a long poll for settings: on the reader of a failure domain, and
-#: on other instances, which get new versions from peers as well.
-_READER_POLL_S = 10.0
-_FOLLOWER_POLL_S = 25.0
+#: Seconds of the first long poll, within which links to peers come up that make
+#: further polls needless, and of later ones.
+_FIRST_POLL_S = 2.0
+_POLL_S = 10.0
+#: Seconds without a report of a polling peer after which an instance that is
+#: not the reader polls the store itself. Peers report every 0.8 s.
+_MAX_PEER_AGE_S = 1.6
+#: Seconds between two versions that are put in force. A burst of versions must
+#: not take the processor time of the relayed requests; versions superseded in
+#: between are skipped.
+_APPLY_INTERVAL_S = 0.25
+#: Seconds after which a version that a peer was asked for is asked for again.
+_ASK_TIMEOUT_S = 0.5
 
 
 class SettingsFeed(Feed):
-    """Follows the routing settings and keeps their newest version."""
+    """Follows the routing settings and keeps their newest version.
 
-    __slots__ = ('_is_reader', '_on_change', 'settings')
+    The reader of a failure domain polls the store; the other instances get new
+    versions from peers, and poll only while no polling peer reports to them.
+    """
+
+    __slots__ = (
+        '_applied_at',
+        '_apply_timer',
+        '_asked',
+        '_on_change',
+        '_peer_contact_at',
+        '_pending',
+        '_polling',
+        'settings',
+    )
 
     def __init__(
         self,
@@ -40,32 +63,98 @@
         """Start without settings.
 
         :param on_change: called with each newer version.
-        :param is_reader: returns whether this instance is the reader of its
-            failure domain.
         """
-        super().__init__(CONFIG_TOPIC, store, clock, metrics, rng)
-        self._is_reader = is_reader
+        super().__init__(CONFIG_TOPIC, store, clock, metrics, rng, is_reader)
         self._on_change = on_change
         self.settings: RoutingSettings | None = None
+        #: Whether a long poll at the store keeps the version current.
+        self._polling = False
+        #: Monotonic time of the last report of a polling peer.
+        self._peer_contact_at: float | None = None
+        #: Version that a peer was asked for last, and when.
+        self._asked = (-1, 0.0)
+        #: Newest version that is not in force yet, encoded, with its source.
+        self._pending: tuple[int, bytes, str] | None = None
+        self._applied_at: float | None = None
+        self._apply_timer: asyncio.TimerHandle | None = None
 
     @property
     def version(self) -> int:
         """Current version; -1: none."""
         return self.settings.version if self.settings else -1
 
+    @property
+    def polled_version(self) -> int:
+        """Current version if this instance polls the store itself, else -1."""
+        return self.version if self._polling else -1
+
+    def note_peer_version(self, version: int) -> None:
+        """Note the version reported by a peer that polls the store.
+
+        :param version: the peer's :attr:`polled_version`; -1 is ignored.
+        """
+        if version >= 0:
+            self._peer_contact_at = self._clock.monotonic()
+
+    def should_ask(self, version: int) -> bool:
+        """Return whether a peer should be asked for its version now.
+
+        It should not if the version is known already or another peer was just
+        asked for it.
+        """
+        known = self._pending[0] if self._pending else self.version
+        if version <= known:
+            return False
+        now = self._clock.monotonic()
+        asked, asked_at = self._asked
+        if version <= asked and now - asked_at < _ASK_TIMEOUT_S:
+            return False
+        self._asked = (version, now)
+        return True
+
     def apply(self, encoded: bytes, source: str) -> None:
-        """Apply a version if it is newer than the current one.
+        """Put a version in force if it is newer than the current one.
+
+        Within :data:`_APPLY_INTERVAL_S` of the last version, this happens at
+        the end of the interval.
 
         :param encoded: the settings as JSON.
         :param source: for the log: ``store`` or the name of an instance.
         """
         try:
-            settings = decode_settings(encoded)
+            version = decode_version(encoded)
         except SettingsError as error:
-            log_event('settings_refused', source=source, reason=error.reason)
-            self._metrics.publications.labels(error.code).inc()
+            self._record_refusal(error, source)
             return
-        if settings.version <= self.version:
+        known = self._pending[0] if self._pending else self.version
+        if version <= known:
+            return
+        self._pending = (version, encoded, source)
+        if self._apply_timer:
+            return
+        delay_s = self._measure_apply_delay_s()
+        if delay_s > 0:
+            loop = asyncio.get_running_loop()
+            self._apply_timer = loop.call_later(delay_s, self._apply_pending)
+        else:
+            self._apply_pending()
+
+    def _measure_apply_delay_s(self) -> float:
+        if self._applied_at is None:
+            return 0.0
+        elapsed_s = self._clock.monotonic() - self._applied_at
+        return _APPLY_INTERVAL_S - elapsed_s
+
+    def _apply_pending(self) -> None:
+        self._apply_timer = None
+        if self._pending is None:
+            return
+        _, encoded, source = self._pending
+        self._pending = None
+        try:
+            settings = decode_settings(encoded)
+        except SettingsError as error:
+            self._record_refusal(error, source)
             return
         log_event(
             'settings_in_force',
@@ -74,20 +163,51 @@
             source=source,
         )
         self.settings = settings
+        self._applied_at = self._clock.monotonic()
         self._metrics.settings_version.set(settings.version)
         self._on_change(settings)
 
+    def _record_refusal(self, error: SettingsError, source: str) -> None:
+        log_event('settings_refused', source=source, reason=error.reason)
+        self._metrics.publications.labels(error.code).inc()
+
     async def _follow_topic(self) -> None:
+        await self._wait_until_due()
+        try:
+            await self._poll()
+        finally:
+            self._polling = False
+
+    async def _wait_until_due(self) -> None:
+        while not self._is_poll_due():
+            await self._sleep_until_stale(
+                self._measure_peer_age_s(),
+                _MAX_PEER_AGE_S,
+            )
+
+    def _is_poll_due(self) -> bool:
+        return self._is_reader() or (
+            self._measure_peer_age_s() > _MAX_PEER_AGE_S
+        )
+
+    def _measure_peer_age_s(self) -> float:
+        if self._peer_contact_at is None:
+            return float('inf')
+        return self._clock.monotonic() - self._peer_contact_at
+
+    async def _poll(self) -> None:
         page = await self._store.list_newest(self._topic)
         self._apply_page(page)
-        while True:
-            poll_s = _READER_POLL_S if self._is_reader() else _FOLLOWER_POLL_S
+        self._polling = True
+        poll_s = _FIRST_POLL_S
+        while self._is_poll_due():
             page = await self._store.read(
                 self._topic,
                 page.next_offset,
                 poll_s,
             )
             self._apply_page(page)
+            poll_s = _POLL_S
 
     def _apply_page(self, page: KeyedPage) -> None:
         self._record_success()
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 from tornado.httpserver import HTTPServer
 
 from anvilhall.clock import Clock
@@ -19,8 +20,12 @@
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
 from anvilhall.core.retries import PoolRetryBudgets
-from anvilhall.core.routes import RequestLimits, RoutingSettings
-from anvilhall.exceptions import PeerUnreachable
+from anvilhall.core.routes import (
+    RequestLimits,
+    RoutingSettings,
+    decompress_settings,
+)
+from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
 from anvilhall.feeds.instances import InstancesFeed
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
@@ -117,7 +122,7 @@
             self.metrics,
             rng,
             self._apply_runners,
-            self._fleet.broadcast,
+            self._notify_peers,
             self._reads_registry,
         )
         self._instances_feed = InstancesFeed(
@@ -313,20 +318,37 @@
         while self.context.open_requests:
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    def _notify_peers(self, message: RunnerNews | RunnersRead) -> None:
+        if isinstance(message, RunnersRead):
+            message = msgspec.structs.replace(
+                message,
+                settings_version=self._settings_feed.polled_version,
+            )
+        self._fleet.broadcast(message)
+
     def _handle_heartbeat(self, sender: str, message: Message) -> None:
         assert isinstance(message, Heartbeat)  # noqa: S101
-        if message.settings_covers > self._settings_feed.version:
+        self._ask_settings(sender, message.settings_covers)
+
+    def _ask_settings(self, sender: str, version: int) -> None:
+        if self._settings_feed.should_ask(version):
             self._try_send(sender, SettingsAsk(self._settings_feed.version))
 
     def _handle_settings_ask(self, sender: str, message: Message) -> None:
         assert isinstance(message, SettingsAsk)  # noqa: S101
         settings = self._settings_feed.settings
         if settings and settings.version > message.covers:
-            self._try_send(sender, SettingsOffer(settings.encoded))
+            self._try_send(sender, SettingsOffer(settings.compressed))
 
     def _handle_settings_offer(self, sender: str, message: Message) -> None:
         assert isinstance(message, SettingsOffer)  # noqa: S101
-        self._settings_feed.apply(message.snapshot, sender)
+        try:
+            encoded = decompress_settings(message.snapshot)
+        except PeerProtocolBroken as error:
+            log_event('settings_refused', source=sender, reason=error.reason)
+            self.metrics.publications.labels(error.code).inc()
+            return
+        self._settings_feed.apply(encoded, sender)
 
     def _handle_runner_news(self, sender: str, message: Message) -> None:
         assert isinstance(message, RunnerNews)  # noqa: S101
@@ -336,6 +358,8 @@
         assert isinstance(message, RunnersRead)  # noqa: S101
         if not self._runners_feed.compare_read(message):
             self._try_send(sender, RunnersAsk())
+        self._settings_feed.note_peer_version(message.settings_version)
+        self._ask_settings(sender, message.settings_version)
 
     def _handle_runners_ask(self, sender: str, message: Message) -> None:
         assert isinstance(message, RunnersAsk)  # noqa: S101
--- a/src/anvilhall/platform/settings.py
+++ b/src/anvilhall/platform/settings.py
@@ -89,6 +89,22 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _Version(msgspec.Struct):
+    version: int
+
+
+def decode_version(encoded: bytes) -> int:
+    """Decode only the version of a manifest.
+
+    :param encoded: manifest as JSON.
+    :raises SettingsError: if the manifest is malformed or has no version.
+    """
+    try:
+        return msgspec.json.decode(encoded, type=_Version).version
+    except msgspec.DecodeError as error:
+        raise SettingsError(f'malformed manifest: {error}') from error
+
+
 def decode_settings(encoded: bytes) -> RoutingSettings:
     """Decode a manifest.
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,9 +1,18 @@
 """Selection of routes by host and longest prefix, and of pools by share."""
 
+import zlib
+
 import pytest
 
-from anvilhall.core.routes import Route, RouteTable
-from anvilhall.exceptions import UnknownPath
+from anvilhall.core.routes import (
+    RequestLimits,
+    Route,
+    RouteTable,
+    RoutingSettings,
+    decompress_settings,
+)
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import PeerProtocolBroken, UnknownPath
 
 
 def _make_route(prefix, host='a.example', pools=(('p', 1.0),)):
@@ -61,3 +70,22 @@
 def test_route_without_a_positive_share_is_refused():
     with pytest.raises(UnknownPath):
         _make_route('/', pools=(('p', 0.0),)).choose_pool('id')
+
+
+def test_settings_are_compressed_for_peers_and_read_back():
+    encoded = b'{"version":1,"routes":[]}' + b' ' * 4096
+    settings = RoutingSettings(
+        1, Tree({}), RouteTable(()), RequestLimits(), encoded
+    )
+    assert len(settings.compressed) < len(encoded) // 10
+    assert decompress_settings(settings.compressed) == encoded
+    assert decompress_settings(encoded) == encoded
+
+
+@pytest.mark.parametrize(
+    'snapshot',
+    (b'', b'garbage', zlib.compress(b'{}')[:-3], zlib.compress(bytes(1 << 25))),
+)
+def test_settings_that_cannot_be_decompressed_are_refused(snapshot):
+    with pytest.raises(PeerProtocolBroken):
+        decompress_settings(snapshot)
