--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -26,8 +26,8 @@
 #: bytes. If the connection breaks, a buffered response can still be replaced by
 #: that of another runner.
 _BUFFER_LIMIT_BYTES = 256 * 1024
-#: Seconds without an event after which a resumable stream is moved to another
-#: runner. Callers give up after two seconds.
+#: Seconds without a whole event after which a resumable stream is moved to
+#: another runner. Callers give up after two seconds.
 _STALL_TIMEOUT_S = 1.2
 #: Lower bound of the reported time to the first token, in seconds; 0 means
 #: that no token has arrived.
@@ -52,8 +52,12 @@
     def handle_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of the response, unless an attempt has already."""
 
-    def handle_chunk(self, chunk: bytes) -> None:
-        """Send a chunk of the body."""
+    def handle_chunk(self, chunk: bytes) -> bool:
+        """Send a chunk of the body.
+
+        :return: whether it made progress: of a resumable stream, whether it
+            completed an event.
+        """
 
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
@@ -83,6 +87,7 @@
         '_granted_at',
         '_job',
         '_last_chunk_at',
+        '_last_progress_at',
         '_listener',
         '_problem',
         '_response_head',
@@ -117,6 +122,7 @@
         self.first_token_s = 0.0
         self._granted_at = services.clock.monotonic()
         self._last_chunk_at = self._granted_at
+        self._last_progress_at = self._granted_at
         self._buffer: list[bytes] = []
         self._buffer_size = 0
         self._response_head: tuple[int, HTTPHeaders] | None = None
@@ -267,7 +273,7 @@
             if self._job.route.streaming:
                 self._report_first_token()
         if self._forwarding:
-            self._listener.handle_chunk(chunk)
+            self._forward(chunk)
             return
         self._buffer.append(chunk)
         self._buffer_size += len(chunk)
@@ -281,9 +287,13 @@
             self._listener.handle_head(status, headers)
         self._forwarding = True
         for chunk in self._buffer:
-            self._listener.handle_chunk(chunk)
+            self._forward(chunk)
         self._buffer.clear()
 
+    def _forward(self, chunk: bytes) -> None:
+        if self._listener.handle_chunk(chunk):
+            self._last_progress_at = self._services.clock.monotonic()
+
     def _flush(self) -> None:
         if not self._forwarding:
             self._start_forwarding()
@@ -329,11 +339,12 @@
 
     def _check_progress(self) -> None:
         limit_s = max(_STALL_TIMEOUT_S, self._job.route.objective_s)
-        silent_s = self._services.clock.monotonic() - self._last_chunk_at
+        now = self._services.clock.monotonic()
+        silent_s = now - self._last_progress_at
         if silent_s < limit_s:
             self._schedule_check(limit_s - silent_s)
             return
         self._problem = UpstreamStalled(
-            f'no data for {silent_s:.2f} s, limit {limit_s:.2f} s'
+            f'no whole event for {silent_s:.2f} s, limit {limit_s:.2f} s'
         )
         self.transfer.abort()
--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -68,6 +68,7 @@
     __slots__ = (
         'ask',
         'asked_at',
+        'deadline_at',
         'foreign_owners',
         'handler',
         'queued',
@@ -77,9 +78,9 @@
     def __init__(self, ask: Ask, handler: GrantHandler, now: float) -> None:
         self.ask = ask
         self.handler = handler
-        #: Monotonic time of the first ask, or of the last one to another
-        #: region, in seconds.
+        #: Monotonic time of the last ask, in seconds.
         self.asked_at = now
+        self.deadline_at = now + ask.deadline_s
         #: Whether the target has confirmed that the request is in its queue.
         self.queued = False
         #: Instance that the request was sent to, or :data:`_FALLBACK`;
@@ -89,6 +90,12 @@
         #: ``None``: not looked up.
         self.foreign_owners: list[str] | None = None
 
+    def renew(self, now: float) -> None:
+        """Prepare to send the request again: update its remaining time."""
+        left_s = max(0.0, self.deadline_at - now)
+        self.ask = msgspec.structs.replace(self.ask, deadline_s=left_s)
+        self.asked_at = now
+
     def detach(self) -> None:
         """Clear the target, so that the next tick sends the request again."""
         self.target = None
@@ -297,10 +304,12 @@
         now = self._clock.monotonic()
         for pending in list(self._pending.values()):
             if pending.target is None:
+                pending.renew(now)
                 self._send_ask(pending)
             elif self._is_unanswered(pending, now):
                 self._fallback.mark_unresponsive(pending.target)
                 self._send_withdrawal(pending)
+                pending.renew(now)
                 self._ask_fallback(pending)
             elif now - pending.asked_at >= SPILL_AFTER_S:
                 pending.asked_at = now
@@ -513,4 +522,6 @@
         runner=running.grant.runner,
         prompt_tokens=running.ask.prompt_tokens,
         tokens=running.tokens,
+        max_tokens=running.ask.max_tokens,
+        tier=running.ask.tier,
     )
--- a/src/anvilhall/core/health.py
+++ b/src/anvilhall/core/health.py
@@ -143,20 +143,31 @@
         if self.suspect and self._probe_at < now:
             self._probe_at = now + _STRAGGLER_PROBE_S
 
-    def note_failure(self, code: str, now: float) -> None:
+    def note_failure(
+        self,
+        code: str,
+        now: float,
+        *,
+        progressing: bool = False,
+    ) -> None:
         """Update the health after a failed request.
 
         A runner that is then suspect gets its next probe after an exponential
         backoff that grows with its hard failures.
 
         :param code: error code of the failure.
+        :param progressing: whether other requests have received tokens from the
+            runner meanwhile. A stall is then no sign that the runner is gone;
+            it may as well be due to a backlog of prefill.
         :param now: monotonic seconds.
         """
         if code == UpstreamFull.code:
             self._full_until = now + _FULL_BACKOFF_S
             return
         self._error_rate += _ERROR_WEIGHT * (1 - self._error_rate)
-        if code in _HARD_FAILURES:
+        if code in _HARD_FAILURES and not (
+            progressing and code == UpstreamStalled.code
+        ):
             self._hard_failure_count += 1
         if self.suspect:
             doublings = min(max(self._hard_failure_count - 1, 0), 10)
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -113,6 +113,10 @@
     runner: str
     prompt_tokens: int
     tokens: int
+    #: Upper bound of the answer's size, in tokens.
+    max_tokens: int = 0
+    #: Tier from the client account, which overrides that of the class.
+    tier: int | None = None
 
 
 class Read(_Message, frozen=True):
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -80,20 +80,26 @@
         for runner in self.runners.values():
             runner.set_pool(pool)
 
-    def set_endpoints(self, endpoints: Iterable[RunnerEndpoint]) -> None:
+    def set_endpoints(
+        self, endpoints: Iterable[RunnerEndpoint]
+    ) -> list[Assignment]:
         """Replace the runners by those that the registry lists.
 
         A runner that is no longer listed is kept until its requests have ended.
+
+        :return: requests on runners that have restarted and so have lost them.
         """
         listed = {endpoint.name: endpoint for endpoint in endpoints}
         for name in list(self.runners):
             if name not in listed:
                 self.runners[name].leaving = True
                 self.remove_if_drained(self.runners[name])
+        lost: list[Assignment] = []
         for endpoint in listed.values():
-            self._set_endpoint(endpoint)
+            lost.extend(self._set_endpoint(endpoint))
         self._calibration.set_runner_count(len(self.runners))
         self._rank_runners()
+        return lost
 
     def find_assignment(
         self, request_id: str
@@ -163,7 +169,9 @@
             ),
         )
 
-    def _set_endpoint(self, endpoint: RunnerEndpoint) -> None:
+    def _set_endpoint(self, endpoint: RunnerEndpoint) -> list[Assignment]:
+        """Add or update a runner; return the requests that it has lost."""
+        lost: list[Assignment] = []
         runner = self.runners.get(endpoint.name)
         if (
             runner is None
@@ -171,6 +179,7 @@
             or runner.born != endpoint.born
         ):
             # A restarted runner has lost its requests and its prefix cache.
+            lost.extend(runner.assignments.values() if runner else ())
             runner = Runner(
                 endpoint.name,
                 endpoint.address,
@@ -182,6 +191,7 @@
             self.runners[endpoint.name] = runner
         runner.leaving = endpoint.leaving
         runner.advertised_slots = endpoint.slots
+        return lost
 
     def _count_peer_slots(self, runner: Runner) -> int:
         """Return the slots of a runner that other instances may grant."""
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -29,6 +29,9 @@
 _MAX_PREFILL_SHARE = 0.9
 #: Time constant of the average rate of granted prompt tokens, in seconds.
 _PREFILL_DECAY_S = 1.0
+#: Seconds after the last output of any request within which a runner counts as
+#: progressing. Streams count as stalled after longer silence only.
+_PROGRESS_WINDOW_S = 1.0
 
 
 class LatencyTargets(msgspec.Struct, frozen=True):
@@ -107,6 +110,7 @@
         '_calibration',
         '_policy',
         '_pool',
+        '_progress_at',
         '_recent_prefill_tokens',
         '_reserved_tokens',
         '_stream_counts',
@@ -157,6 +161,8 @@
             tuple[tuple[int, int], float]
         ] = collections.Counter()
         self._recent_prefill_tokens = DecayingSum(_PREFILL_DECAY_S)
+        #: Monotonic time of the last report of output of a request.
+        self._progress_at = -math.inf
 
     @property
     def suspect(self) -> bool:
@@ -272,6 +278,15 @@
             assignment.priority, assignment.latency_targets.gap_s
         ] += 1
 
+    def note_progress(self, now: float) -> None:
+        """Note that a request has received output from the runner."""
+        self._progress_at = now
+
+    def note_failure(self, code: str, now: float) -> None:
+        """Update the health after a request has failed on the runner."""
+        progressing = now - self._progress_at < _PROGRESS_WINDOW_S
+        self.health.note_failure(code, now, progressing=progressing)
+
     def note_first_token(
         self, assignment: Assignment, first_token_s: float
     ) -> None:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -130,8 +130,14 @@
         self._roster.set_pool(self._pool)
 
     def set_runners(self, endpoints: Iterable[RunnerEndpoint]) -> None:
-        """Replace the pool's runners by those that the registry lists."""
-        self._roster.set_endpoints(endpoints)
+        """Replace the pool's runners by those that the registry lists.
+
+        Requests on a runner that has restarted no longer count as running.
+        """
+        for lost in self._roster.set_endpoints(endpoints):
+            self._release_request(
+                lost.request_id, lost.account, lost.class_name
+            )
 
     def submit(self, sender: str, ask: Ask, now: float) -> list[Action]:
         """Queue a request; if the queue is full, shed one of a lower tier.
@@ -204,6 +210,7 @@
             return
         runner, assignment = found
         assignment.tokens = progress.tokens
+        runner.note_progress(now)
         assignment.long = (
             assignment.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
         )
@@ -227,8 +234,9 @@
             runner.note_first_token(assignment, release.first_token_s)
             self._roster.calibrate()
         if release.failure:
-            runner.health.note_failure(release.failure, now)
+            runner.note_failure(release.failure, now)
         elif release.served:
+            runner.note_progress(now)
             runner.health.note_success()
             self._admission.note_length(
                 assignment.class_name,
@@ -251,13 +259,16 @@
             return
         assignment = Assignment(held.request_id, held.class_name, held.account)
         assignment.prefill_tokens = held.prompt_tokens
+        assignment.uncached_tokens = held.prompt_tokens
+        assignment.context_tokens = held.prompt_tokens + held.max_tokens
         assignment.tokens = held.tokens
         assignment.first_token_seen = held.tokens > 0
         assignment.long = held.prompt_tokens >= defaults.LONG_PROMPT_TOKENS
         settings = self._tree.classes.get(held.class_name)
-        assignment.priority = (
-            _get_priority(settings) if settings else assignment.priority
-        )
+        if settings:
+            settings = _apply_account_tier(settings, held.tier)
+            assignment.priority = _get_priority(settings)
+            assignment.latency_targets = _build_latency_targets(settings)
         assignment.predicted_s = 1.0
         runner.adopt_assignment(assignment)
         self._senders[held.request_id] = sender
@@ -309,14 +320,7 @@
         settings = self._tree.classes.get(ask.class_name)
         if settings is None:
             raise UnknownClass(f'no class named {ask.class_name!r}')
-        if ask.tier is not None:
-            # The account's tier replaces the class's. The class's tier becomes
-            # the rank, which orders the requests within the account's tier.
-            settings = msgspec.structs.replace(
-                settings,
-                tier=ask.tier,
-                rank=settings.tier,
-            )
+        settings = _apply_account_tier(settings, ask.tier)
         if not self._roster.has_available():
             raise NoRunner(
                 f'pool {self._pool_name!r} has no runner that accepts requests',
@@ -464,6 +468,21 @@
     return settings.tier, settings.rank
 
 
+def _apply_account_tier(
+    settings: ClassSettings, tier: int | None
+) -> ClassSettings:
+    """Return class settings with the tier replaced by the account's.
+
+    The class's tier becomes the rank, which orders the requests within the
+    account's tier.
+
+    :param tier: tier of the account; ``None``: the class's applies.
+    """
+    if tier is None:
+        return settings
+    return msgspec.structs.replace(settings, tier=tier, rank=settings.tier)
+
+
 def _get_pause_delay_s(queue: ClassQueue) -> float:
     target = queue.settings.target
     target_ms = target.first_token_ms or target.done_ms
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -228,6 +228,8 @@
         self._fleet.leave()
         relay = self._relay_config
         await asyncio.sleep(relay.linger_s)
+        # Connections that the kernel has accepted already are taken over first.
+        await asyncio.sleep(0)
         self._server.stop()
         try:
             async with asyncio.timeout(relay.drain_s):
--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -282,14 +282,24 @@
             self._server.close()
 
     async def _keep_connected(self, name: str, address: str) -> None:
+        last_failure = ''
         while True:
             try:
                 await self._dial(name, address)
             except _DIAL_FAILURES as error:
-                self._metrics.link_messages.labels(
-                    'out',
-                    type(error).__name__,
-                ).inc()
+                failure = type(error).__name__
+                self._metrics.link_messages.labels('out', failure).inc()
+                if failure != last_failure:
+                    # Each cause is logged once, not at each redial.
+                    last_failure = failure
+                    log_event(
+                        'link_failed',
+                        instance=name,
+                        address=address,
+                        reason=f'{failure}: {error}',
+                    )
+            else:
+                last_failure = ''
             await asyncio.sleep(_REDIAL_S)
 
     async def _dial(self, name: str, address: str) -> None:
@@ -328,8 +338,9 @@
             )
         except (ConnectionClosed, TimeoutError):
             return
-        except PeerProtocolBroken:
+        except PeerProtocolBroken as error:
             self._metrics.link_messages.labels('in', 'refused').inc()
+            log_event('link_refused', instance='', reason=error.reason)
             await connection.close(_CLOSE_POLICY_VIOLATION)
             return
         link = Link(connection, hello, self._metrics)
@@ -381,7 +392,18 @@
             return
         kind = type(message).__name__
         self._metrics.link_messages.labels('in', kind).inc()
-        self._callbacks.on_message(name, message)
+        try:
+            self._callbacks.on_message(name, message)
+        except Exception as error:  # noqa: BLE001
+            # A bug in a handler must not end the link or its redialling.
+            failure = type(error).__name__
+            self._metrics.internal_errors.labels(failure).inc()
+            log_event(
+                'message_failed',
+                instance=name,
+                message=kind,
+                reason=f'{failure}: {error}',
+            )
 
     async def _handshake_as_dialler(self, connection: Connection) -> Hello:
         challenge = _decode_frame(await connection.recv())
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -1,6 +1,8 @@
 """HTTP server for callers, whose requests are routed by host and path."""
 
 import asyncio
+import functools
+import socket
 import weakref
 from collections.abc import Callable
 from http import HTTPStatus
@@ -189,7 +191,7 @@
         self._released = False
         self._host = ''
         self._path = ''
-        #: Bytes written since a write was last flushed to the socket.
+        #: Bytes written but not flushed to the socket yet.
         self._unsent = 0
         self._request_id = ''
 
@@ -218,7 +220,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the request body."""
-        if self._response_started:
+        if self._response_started or self._error:
             return
         self._body_size += len(chunk)
         limits = self._context.settings.limits
@@ -255,6 +257,15 @@
         else:
             self._release()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether the caller has sent bytes that were not read yet."""
+        caller = self._connection.stream.socket
+        try:
+            return bool(caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def close(self) -> None:
         """Close the idle connection."""
         self._context.idle.discard(self)
@@ -280,11 +291,17 @@
             self.on_connection_close()
             return
         flushed = self._connection.write(chunk)
-        flushed.add_done_callback(self._handle_flushed)
+        flushed.add_done_callback(
+            functools.partial(self._handle_flushed, len(chunk)),
+        )
 
-    def _handle_flushed(self, flushed: 'asyncio.Future[None]') -> None:
+    def _handle_flushed(
+        self,
+        size: int,
+        flushed: 'asyncio.Future[None]',
+    ) -> None:
         if not flushed.cancelled() and flushed.exception() is None:
-            self._unsent = 0
+            self._unsent -= size
 
     async def _run(self, job: RelayJob) -> None:
         metrics = self._context.services.metrics
@@ -440,11 +457,16 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop(self) -> None:
-        """Stop accepting connections and requests; close idle connections."""
+        """Stop accepting connections and requests; close idle connections.
+
+        A connection on which a request has arrived is kept, so that the request
+        is read and refused instead of being reset.
+        """
         self._server.stop()
         self._context.closing = True
         for request in list(self._context.idle):
-            request.close()
+            if not request.has_unread_bytes():
+                request.close()
 
     async def close(self) -> None:
         """Close all connections, also those with requests in flight."""
@@ -458,10 +480,7 @@
         """Return the handler of the next request on a connection."""
         assert isinstance(request_conn, HTTP1Connection)  # noqa: S101
         request_conn.set_max_body_size(self._limits.body_bytes)
-        request = RelayRequest(self._context, request_conn)
-        if self._context.closing:
-            request.close()
-        return request
+        return RelayRequest(self._context, request_conn)
 
 
 def choose_status(error: AnvilhallError) -> int:
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -155,8 +155,11 @@
             passed.pop('Content-Length', None)
         self._sink.send_head(status, passed)
 
-    def handle_chunk(self, chunk: bytes) -> None:
-        """Send a chunk of the body; of resumable streams, whole events only."""
+    def handle_chunk(self, chunk: bytes) -> bool:
+        """Send a chunk of the body; of resumable streams, whole events only.
+
+        :return: whether anything was sent.
+        """
         if not self.first_event_s:
             now = self._services.clock.monotonic()
             self.first_event_s = now - self._job.arrived_at
@@ -164,6 +167,7 @@
             chunk = self._event_framer.feed(chunk)
         if chunk:
             self._sink.write(chunk)
+        return bool(chunk)
 
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -15,6 +15,10 @@
 ``moved``: respond with 421, as a runner that replaced the expected one.
 ``early``: respond with 413 before the body was read.
 ``unframed``: send no length; the end of the connection ends the body.
+``endless-head``: send header lines until the client closes.
+``endless-info``: send informational responses until the client closes.
+``endless-body``: send a body without length until the client closes.
+``drip``: stream one event and then, byte by byte, one that never ends.
 """
 
 import asyncio
@@ -29,8 +33,10 @@
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
-#: Pause in seconds after each event of a stream.
+#: Default pause in seconds after each event of a stream.
 _EVENT_S = 0.01
+#: Pause in seconds after each byte of an event that never ends.
+_DRIP_S = 0.05
 
 
 class ReceivedRequest:
@@ -73,12 +79,23 @@
         self.disconnected_ids: list[str] = []
         #: Duration in seconds of the work before a response.
         self.work_s = 0.0
+        #: Pause in seconds after each event of a stream.
+        self.event_s = _EVENT_S
         #: Number of the event after which a stream is cut, once; 0 for none. A
         #: stream that resumes after that event is not cut.
         self.cut_after = 0
         #: Minimum size in bytes of a plain response's body (padded).
         self.body_bytes = 0
         self.address = ''
+        #: Responses after which the connection ends, by behaviour.
+        self._last_responses = {
+            'short': self._respond_and_close,
+            'unframed': self._respond_and_close,
+            'endless-head': self._send_without_end,
+            'endless-info': self._send_without_end,
+            'endless-body': self._send_without_end,
+            'drip': self._drip,
+        }
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -159,13 +176,14 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         status = _ERROR_STATUSES.get(behaviour)
+        last_response = self._last_responses.get(behaviour)
+        if last_response:
+            await last_response(behaviour, request, writer)
+            return False
         if status:
             self._respond(writer, request, status, b'failed')
         elif behaviour == 'foreign':
             self._respond(writer, request, 200, b'foreign', request_id='other')
-        elif behaviour in {'short', 'unframed'}:
-            await self._respond_and_close(behaviour, request, writer)
-            return False
         elif self.events:
             return await self._stream(request, writer)
         else:
@@ -191,6 +209,45 @@
             writer.write(b'unframed')
         await writer.drain()
 
+    async def _send_without_end(
+        self,
+        behaviour: str,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        status_and_id = f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
+        head = status_and_id
+        piece = b'X-Filler: %s\r\n' % bytes(1000).replace(b'\0', b'x')
+        if behaviour == 'endless-info':
+            head = ''
+            piece = b'HTTP/1.1 102 Processing\r\n\r\n'
+        elif behaviour == 'endless-body':
+            seal = f'{self.name}.{request.request_id}'
+            head = f'{status_and_id}{_SEAL}: {seal}\r\n\r\n'
+        writer.write(head.encode())
+        while True:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def _drip(
+        self,
+        behaviour: str,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (
+            f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
+            f'{_SEAL}: {self.name}.{request.request_id}\r\n'
+            'Content-Type: text/event-stream\r\n\r\n'
+            f'id: 1\ndata: event 1\n\ndata: '
+        )
+        writer.write(head.encode())
+        while True:
+            await writer.drain()
+            await asyncio.sleep(_DRIP_S)
+            writer.write(b'x')
+
     async def _work(
         self,
         request: ReceivedRequest,
@@ -256,6 +313,6 @@
                 return False
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(_EVENT_S)
+            await asyncio.sleep(self.event_s)
         writer.write(b'0\r\n\r\n')
         return True
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -195,3 +195,17 @@
     assert requester.sent == []
     requester.broker.handle_link_up(requester.owner)
     assert len(requester.sent) == 1
+
+
+def test_request_sent_again_carries_the_time_that_is_left(requester):
+    requester.ask()
+    requester.broker.handle_link_down(requester.owner)
+    requester.clock.advance(1.0)
+    requester.broker.tick()
+    asks = [
+        message for _, message in requester.sent if isinstance(message, Ask)
+    ]
+    assert [ask.deadline_s for ask in asks] == [10.0, 9.0]
+    requester.wait(0.05)
+    # The owner has as long for its answer as with the first ask.
+    assert not requester.broker.running_count
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from anvilhall.core.messages import Ask, Grant, Refusal, Release
+from anvilhall.core.messages import (
+    Ask,
+    Grant,
+    Held,
+    Progress,
+    Refusal,
+    Release,
+)
 from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.core.schedules import is_active
 from anvilhall.core.settings import Schedule, Window, decode_node
@@ -158,6 +165,42 @@
     assert len(_get_granted(shard.dispatch(1.2, WALL))) == 2
 
 
+def test_stall_on_a_runner_that_serves_others_does_not_stop_its_grants(
+    root_json,
+):
+    shard = _build_shard(root_json, slots=4)
+    shard.submit('e', _ask('a'), 0)
+    shard.submit('e', _ask('b'), 0)
+    shard.dispatch(0, WALL)
+    shard.note_progress(Progress('chat', 'b', 0.1, 1, 0.0), 1.9)
+    stalled = Release('chat', 'a', served=False, failure='upstream_stalled')
+    shard.release(stalled, 2.0)
+    shard.submit('e', _ask('c'), 2.1)
+    assert _get_granted(shard.dispatch(2.1, WALL)) == ['c']
+
+
+def test_requests_lost_by_a_restarted_runner_no_longer_count(root_json):
+    root_json['accounts']['ann']['limits'] = {'concurrent': 1}
+    shard = _build_shard(root_json)
+    shard.submit('e', _ask('a'), 0)
+    shard.dispatch(0, WALL)
+    shard.set_runners([RunnerEndpoint('r0', 'r0', born=7)])
+    shard.release(Release('chat', 'a', served=False), 0.5)
+    shard.submit('e', _ask('b'), 1)
+    assert _get_granted(shard.dispatch(1, WALL)) == ['b']
+
+
+def test_adopted_request_keeps_its_tier_and_its_load(root_json):
+    shard = _build_shard(root_json, memory_tokens=1000)
+    held = Held('a', 'quick', 'ann', 'r0', 600, 0, max_tokens=200, tier=1)
+    shard.adopt('e', held, 0)
+    assert shard.runners['r0'].assignments['a'].tier == 1
+    shard.submit('e', _ask('b', tokens=300), 0)
+    assert not _get_granted(shard.dispatch(0, WALL))
+    _release(shard, 'a', 1)
+    assert _get_granted(shard.dispatch(1, WALL)) == ['b']
+
+
 @pytest.mark.parametrize(
     ('zone', 'utc', 'active'),
     [
