--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from anvilhall.exceptions import UpstreamGarbled
 from tests.cluster import (
     build_chat,
     catch_error,
@@ -332,3 +333,20 @@
             break
         await asyncio.sleep(0.2)
     return reply
+
+
+def test_broken_event_of_a_buffered_answer_is_the_engines_failure(
+    root_json, monkeypatch
+):
+    def fail(_):
+        raise UpstreamGarbled('an event has invalid data')
+
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            monkeypatch.setattr('anvilhall.callers.decode_answer', fail)
+            body = build_chat(stream=False)
+            status, _, answer = await cluster.chat('entry-0', body)
+            assert status == 502
+            assert read_error(answer)['code'] == UpstreamGarbled.code
+
+    asyncio.run(scenario())
