--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -18,6 +18,8 @@
 ``endless-head``: send header lines until the client closes.
 ``endless-info``: send informational responses until the client closes.
 ``endless-body``: send a body without length until the client closes.
+``copy-N``: send N bytes of a second copy of the response after it, and the rest
+    before the response to the next request on the connection.
 ``drip``: stream one event and then, byte by byte, one that never ends.
 """
 
@@ -37,6 +39,8 @@
 _EVENT_S = 0.01
 #: Pause in seconds after each byte of an event that never ends.
 _DRIP_S = 0.05
+#: Pause in seconds between a response and the start of its copy.
+_COPY_DELAY_S = 0.002
 
 
 class ReceivedRequest:
@@ -87,6 +91,8 @@
         #: Minimum size in bytes of a plain response's body (padded).
         self.body_bytes = 0
         self.address = ''
+        #: Rest of a copy to be sent before the next response, by connection.
+        self._copies: dict[asyncio.StreamWriter, bytes] = {}
         #: Responses after which the connection ends, by behaviour.
         self._last_responses = {
             'short': self._respond_and_close,
@@ -137,6 +143,7 @@
         if behaviour == 'early':
             self._respond(writer, request, 413, b'too long')
             await writer.drain()
+        writer.write(self._copies.pop(writer, b''))
         size = int(request.headers.get('Content-Length', '0'))
         request.body = await reader.readexactly(size)
         if behaviour == 'early':
@@ -187,11 +194,30 @@
         elif self.events:
             return await self._stream(request, writer)
         else:
-            self._respond(writer, request, 200, self._build_body(request))
+            body = self._build_body(request)
+            self._respond(writer, request, 200, body)
             if behaviour == 'twice':
                 self._respond(writer, request, 200, b'again')
+            elif behaviour.startswith('copy-'):
+                await self._copy_response(behaviour, request, writer)
         return True
 
+    async def _copy_response(
+        self,
+        behaviour: str,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await writer.drain()
+        copy = self._build_response(
+            request, 200, self._build_body(request), (), '', 0
+        )
+        split = int(behaviour.removeprefix('copy-'))
+        if split:
+            await asyncio.sleep(_COPY_DELAY_S)
+        writer.write(copy[:split])
+        self._copies[writer] = copy[split:]
+
     async def _respond_and_close(
         self,
         behaviour: str,
@@ -277,6 +303,21 @@
         request_id: str = '',
         missing: int = 0,
     ) -> None:
+        writer.write(
+            self._build_response(
+                request, status, body, extra, request_id, missing
+            ),
+        )
+
+    def _build_response(
+        self,
+        request: ReceivedRequest,
+        status: int,
+        body: bytes,
+        extra: tuple[tuple[str, str], ...],
+        request_id: str,
+        missing: int,
+    ) -> bytes:
         lines = [
             f'HTTP/1.1 {status} Status',
             f'{_ID}: {request_id or request.request_id}',
@@ -288,7 +329,7 @@
         lines.extend(f'{name}: {text}' for name, text in extra)
         head = '\r\n'.join(lines).encode()
         body = b'' if request.method == 'HEAD' else body
-        writer.write(head + _HEAD_END + body)
+        return head + _HEAD_END + body
 
     async def _stream(
         self,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -689,3 +689,30 @@
             assert connection.closed
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('kind', ['order', 'lookup'])
+def test_late_copy_of_an_answer_never_reaches_the_next_caller(kind):
+    async def scenario():
+        async with run_site() as site:
+            runner = site.runners['desk-0']
+            statuses = set()
+            # A copy has some 170 bytes; 0 sends all of it with the next answer.
+            for split in range(175):
+                runner.behaviours.append(f'copy-{split}')
+                for turn in range(2):
+                    call = site.build_call(
+                        f'/{kind}/{split}-{turn}', method='POST', body=b'x'
+                    )
+                    reply = await site.client.fetch(call)
+                    own = call.headers['Anvilhall-Request-Id'].encode()
+                    if reply.status == 200:
+                        assert own in reply.body
+                    else:
+                        assert reply.status == 502
+                    statuses.add(reply.status)
+                runner.behaviours.clear()
+            # The copies did meet orders, which are not sent again.
+            assert kind == 'lookup' or statuses == {200, 502}
+
+    asyncio.run(scenario())
