Keep requests off connections that ended within a response's head

Cause: when a runner closes the connection within the head of a response, libcurl reports a transfer without error and keeps the connection in its pool. The next request to that runner, of any caller, is written to the dead connection; libcurl's own second try is forbidden, so an order ended in 502 without having run, and a look-up lost its second attempt. Found by the table of all points at which a connection can die. A resumable stream that was cut before its first whole event was not tried again once its head had been sent. Ruled out: the check of liveness when a connection is taken from the pool (libcurl makes it once a second at most; verbose output shows 'left intact' and 'Connection died, retrying a fresh connect'). Change: for the idle limit of the address its requests open new connections; a stream of which no event was delivered starts again.

--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -118,11 +118,15 @@
 class CurlOutbound:
     """Sends HTTP requests with libcurl over one connection pool."""
 
-    __slots__ = ('_driver',)
+    __slots__ = ('_driver', '_fresh_until')
 
     def __init__(self) -> None:
         """Create the client; the first request creates its driver."""
         self._driver: CurlDriver | None = None
+        #: Loop time until which requests to an address open new connections.
+        #: libcurl keeps a connection that ended within the head of a response,
+        #: and the next request on it would be lost.
+        self._fresh_until: dict[str, float] = {}
 
     def close(self) -> None:
         """Abort all requests and close all connections."""
@@ -177,8 +181,29 @@
         """
         if self._driver is None:
             self._driver = CurlDriver()
+        if self._requires_fresh_connection(call):
+            call = msgspec.structs.replace(call, fresh=True)
         exchange = _Exchange(call, transfer, sink, head_sink)
-        return await exchange.run(self._driver)
+        try:
+            return await exchange.run(self._driver)
+        finally:
+            if exchange.ended_within_head:
+                self._avoid_pooled_connections(call)
+
+    def _avoid_pooled_connections(self, call: Call) -> None:
+        now = asyncio.get_running_loop().time()
+        self._fresh_until = {
+            address: until
+            for address, until in self._fresh_until.items()
+            if until > now
+        }
+        self._fresh_until[_get_address(call.url)] = now + call.idle_limit_s
+
+    def _requires_fresh_connection(self, call: Call) -> bool:
+        if not self._fresh_until:
+            return False
+        until = self._fresh_until.get(_get_address(call.url), 0.0)
+        return asyncio.get_running_loop().time() < until
 
 
 class _Exchange:
@@ -215,6 +240,13 @@
         loop = asyncio.get_running_loop()
         self._done: asyncio.Future[None] = loop.create_future()
 
+    @property
+    def ended_within_head(self) -> bool:
+        """Whether the connection ended before the head was complete."""
+        return self._result is not None and not (
+            self._result[0] or self._head_complete
+        )
+
     async def run(self, driver: CurlDriver) -> Reply:
         if self._transfer.aborted:
             raise UpstreamRefused('aborted by this instance')
@@ -301,6 +333,11 @@
         return None
 
 
+def _get_address(url: str) -> str:
+    """Return host and port of an absolute URL."""
+    return url.split('/', 3)[2]
+
+
 def _list_header_lines(call: Call) -> list[bytes]:
     pairs: Iterable[tuple[str, str]] = (
         call.headers.get_all()
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         '_avoid',
+        '_delivered',
         '_event_framer',
         '_job',
         '_may_have_run',
@@ -66,6 +67,8 @@
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
         self._event_framer = EventFramer()
+        #: Whether a part of the response's body has been sent to the caller.
+        self._delivered = False
         #: Whether a part of the response has been sent to the caller.
         self.response_started = False
         #: Seconds from the arrival of the request to the first chunk of its
@@ -166,6 +169,7 @@
         if self._job.route.resumable and self._job.route.streaming:
             chunk = self._event_framer.feed(chunk)
         if chunk:
+            self._delivered = True
             self._sink.write(chunk)
         return bool(chunk)
 
@@ -186,7 +190,7 @@
             begun=self.response_started,
         ):
             return False
-        if self.response_started and not self._event_framer.last_id:
+        if self._delivered and not self._event_framer.last_id:
             # A stream without event identifiers can't be resumed.
             return False
         now = self._services.clock.monotonic()
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -20,6 +20,9 @@
 ``endless-body``: send a body without length until the client closes.
 ``copy-N``: send N bytes of a second copy of the response after it, and the rest
     before the response to the next request on the connection.
+``unread``: reset the connection without reading the request.
+``cut-head``, ``cut-after-head``, ``cut-body``: run the request, then reset the
+    connection within the head, after it or within the body of the response.
 ``drip``: stream one event and then, byte by byte, one that never ends.
 """
 
@@ -35,6 +38,8 @@
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
+#: Bytes sent before a response is cut, as a share of the size of its head.
+_CUT_SHARES = {'cut-head': 0.5, 'cut-after-head': 1.0, 'cut-body': 1.05}
 #: Default pause in seconds after each event of a stream.
 _EVENT_S = 0.01
 #: Pause in seconds after each byte of an event that never ends.
@@ -139,6 +144,9 @@
     ) -> bool:
         head = (await reader.readuntil(_HEAD_END))[: -len(_HEAD_END)]
         behaviour = self.behaviours.popleft() if self.behaviours else ''
+        if behaviour == 'unread':
+            writer.transport.abort()
+            return False
         request = ReceivedRequest(head, b'')
         if behaviour == 'early':
             self._respond(writer, request, 413, b'too long')
@@ -166,6 +174,10 @@
             self._respond(writer, request, 503, b'', ((_NOT_RUN, '1'),))
             return True
         self.runs.append(request)
+        sent_share = _CUT_SHARES.get(behaviour)
+        if sent_share:
+            await self._send_part(sent_share, request, writer)
+            behaviour = 'reset'
         if behaviour == 'reset':
             writer.transport.abort()
             return False
@@ -175,6 +187,21 @@
             return False
         return await self._send_response(behaviour, request, reader, writer)
 
+    async def _send_part(
+        self,
+        share: float,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send a part of a response, as a share of the size of its head."""
+        response = self._build_response(
+            request, 200, self._build_body(request), (), '', 0
+        )
+        head_size = response.index(_HEAD_END) + len(_HEAD_END)
+        writer.write(response[: int(head_size * share)])
+        await writer.drain()
+        await asyncio.sleep(_COPY_DELAY_S)
+
     async def _send_response(
         self,
         behaviour: str,
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -186,3 +186,21 @@
         assert fleet.registry.calls.get('second', 0) <= 1
 
     run_scenario(scenario)
+
+
+def test_peer_that_was_suspended_does_not_bring_a_departed_runner_back(
+    run_scenario,
+):
+    async def scenario(fleet):
+        stale = fleet.feeds['second'].build_offer()
+        fleet.registry.write('r1', '')
+        fleet.registry.write('r2')
+        await asyncio.sleep(DRAIN_S)
+        # What the peer believed before arrives after it wakes up.
+        third = fleet.feeds['third']
+        third.apply_offer(stale)
+        for entry in stale.entries:
+            third.apply_news(entry)
+        assert fleet.states('third') == {'r2': False}
+
+    run_scenario(scenario)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -716,3 +716,41 @@
             assert kind == 'lookup' or statuses == {200, 502}
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('kind', ['order', 'lookup', 'chat', 'brief'])
+@pytest.mark.parametrize(
+    'death',
+    ['refused', 'unread', 'reset', 'cut-head', 'cut-after-head', 'cut-body'],
+)
+def test_outcome_is_true_wherever_the_connection_dies(kind, death):
+    async def scenario():
+        async with run_site(desks=1, engines=1, events=3) as site:
+            pool = 'desk' if kind in {'order', 'lookup'} else 'llm'
+            runner = site.runners[f'{pool}-0']
+            if death == 'refused':
+                runner.stop()
+            else:
+                runner.behaviours.append(death)
+            call = site.build_call(f'/{kind}/1', method='POST', body=b'x')
+            try:
+                reply = await site.client.fetch(call)
+            except UpstreamCut:
+                # The caller has received a part that is not taken for a whole.
+                assert kind in {'chat', 'brief'}
+                reply = None
+            runs = _count_runs(site)
+            if death == 'refused':
+                assert reply.status == 503
+                assert not runs
+                return
+            if reply and reply.status != 200:
+                # Statuses that deny a run are not sent after a send.
+                assert reply.status in {502, 504}
+            if kind in {'order', 'brief'}:
+                assert runs == (death != 'unread')
+                assert reply is None or reply.status != 200
+            else:
+                assert reply.status == 200
+
+    asyncio.run(scenario())
