--- a/src/anvilhall/core/publication.py
+++ b/src/anvilhall/core/publication.py
@@ -118,9 +118,12 @@
     @property
     def next_offset(self) -> int:
         """Offset of the record to read next."""
-        if self._buffered:
-            return max(self._buffered) + 1
-        return max(self.covers + 1, self._start)
+        # Peers may have sent records from after a gap, which is still to be
+        # read.
+        offset = max(self.covers + 1, self._start)
+        while offset in self._buffered:
+            offset += 1
+        return offset
 
     def skip_to(self, start: int) -> None:
         """Continue reading at an offset: earlier records are lost."""
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 import socket
 
 import msgspec
@@ -46,10 +48,21 @@
 )
 
 
+#: Ports below those that the system gives to outgoing connections: one that is
+#: free when it is chosen is still free when it is used.
+PORTS = (12_000, 32_000)
+_next_ports = itertools.count(random.SystemRandom().randrange(*PORTS))
+
+
 def find_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port, different from those returned before."""
+    first, end = PORTS
+    for number in _next_ports:
+        port = first + (number - first) % (end - first)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
+    raise AssertionError('unreachable')
 
 
 class Cluster:
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -83,3 +83,24 @@
             state.fold(offset, record)
         outcomes.add((state.version, state.get_version('shop')))
     assert outcomes == {(2, 2)}
+
+
+def test_gap_before_records_from_a_peer_is_still_read():
+    state = SettingsState()
+    state.fold(0, _publish('a', 0, 10))
+    # A peer sends a later record first.
+    state.fold(3, _publish('d', 3, 40))
+    assert state.next_offset == 1
+    state.fold(1, _publish('b', 1, 20))
+    assert state.next_offset == 2
+    state.fold(2, _publish('c', 2, 30))
+    assert state.next_offset == 4
+    assert state.get_version('shop') == 4
+
+
+def test_reading_continues_after_records_that_have_expired():
+    state = SettingsState()
+    state.skip_to(5)
+    assert state.next_offset == 5
+    state.fold(5, _publish('f', 5, 10))
+    assert state.next_offset == 6
