Pass over closed connections when a stop looks for unread requests

Change: closed streams have no unread bytes. Test: test_relay::test_stop_passes_over..., failed before.

--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -259,7 +259,10 @@
 
     def has_unread_bytes(self) -> bool:
         """Return whether the caller has sent bytes that were not read yet."""
-        caller = self._connection.stream.socket
+        stream = self._connection.stream
+        if stream.closed():
+            return False
+        caller = stream.socket
         try:
             return bool(caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -754,3 +754,22 @@
                 assert reply.status == 200
 
     asyncio.run(scenario())
+
+
+def test_stop_passes_over_a_connection_that_its_caller_has_closed():
+    async def scenario():
+        async with run_site() as site:
+            gateway = site.gateways['g1']
+            before = set(gateway.context.idle)
+            _, writer = await asyncio.open_connection(
+                '127.0.0.1', site.ports['g1']
+            )
+            await wait_until(lambda: set(gateway.context.idle) - before)
+            # The reference keeps the request in the set of idle ones.
+            idle = (set(gateway.context.idle) - before).pop()
+            writer.close()
+            await wait_until(idle._connection.stream.closed)
+            gateway._server.stop()
+            assert gateway.context.closing
+
+    asyncio.run(scenario())
