--- a/tests/site.py
+++ b/tests/site.py
@@ -177,6 +177,11 @@
         self._server.stop()
 
 
+def count_runs(site):
+    """Return how many requests the runners have run."""
+    return sum(len(runner.runs) for runner in site.runners.values())
+
+
 async def wait_until(condition):
     """Wait until a condition holds.
 
