Log each attempt that a runner fails, with its prompt parts

Cause: request_ended names no prompt parts and one line stands for all attempts, so the three hypotheses on the query of death could not be told apart from logs. Change: a line attempt_failed on both interfaces (runner, result, seconds since the grant, first token, prompt parts); no decision changes.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -157,6 +157,10 @@
         self._flush()
         self.served = True
 
+    def measure_elapsed_s(self) -> float:
+        """Return the seconds since the grant."""
+        return self._services.clock.monotonic() - self._granted_at
+
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
         if not self.served:
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -11,7 +11,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.broker import Broker
 from anvilhall.core.ledger import Claim
-from anvilhall.core.messages import Grant, Progress, Release
+from anvilhall.core.messages import Ask, Grant, Progress, Release
 from anvilhall.core.retries import RetryBudget, draw_backoff_s, may_retry
 from anvilhall.events import (
     DONE_EVENT,
@@ -34,6 +34,7 @@
 )
 from anvilhall.grants import PendingGrant
 from anvilhall.jobs import Job
+from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Outbound, Reply, Transfer
 from anvilhall.upstreams import WIRES, Wire
@@ -161,7 +162,8 @@
 
     async def _attempt(self) -> None:
         pending_grant = PendingGrant()
-        grant = await self._acquire(pending_grant)
+        ask = self._build_ask()
+        grant = await pending_grant.wait(self._services.broker, ask)
         attempt = _Attempt(self._job, grant, self._services)
         try:
             await self._claim_key()
@@ -176,6 +178,13 @@
             if pending_grant.paused:
                 raise Paused from error
             self._record_failure(attempt, error)
+            log_failed_attempt(
+                ask,
+                grant,
+                error,
+                elapsed_s=attempt.measure_elapsed_s(),
+                first_token_s=attempt.first_token_s,
+            )
             raise
         finally:
             attempt.close()
@@ -193,14 +202,12 @@
                 attempt.grant.runner,
             )
 
-    async def _acquire(self, pending_grant: PendingGrant) -> Grant:
-        broker = self._services.broker
+    def _build_ask(self) -> Ask:
         now = self._services.clock.monotonic()
         delivered = (
             decode_answer(self._delivered).tokens if self._delivered else 0
         )
-        ask = self._job.build_ask(now, self._avoided_runners, delivered)
-        return await pending_grant.wait(broker, ask)
+        return self._job.build_ask(now, self._avoided_runners, delivered)
 
     async def _claim_key(self) -> None:
         needed = self._job.key and not self._job.settings.idempotent
@@ -324,7 +331,7 @@
             raise self._detect_stall(error) from error
         finally:
             watchdog.cancel()
-        self.first_token_s = self._measure_elapsed_s()
+        self.first_token_s = self.measure_elapsed_s()
         if reply.status in _REFUSAL_STATUSES and self._job.retryable:
             raise UpstreamRefused(
                 f'the service answered with HTTP status {reply.status}',
@@ -448,7 +455,8 @@
     def _start_watchdog(self) -> '_Watchdog':
         return _Watchdog(self, self._job)
 
-    def _measure_elapsed_s(self) -> float:
+    def measure_elapsed_s(self) -> float:
+        """Return the seconds since the grant."""
         return self._services.clock.monotonic() - self._granted_at
 
     def compute_time_left_s(self) -> float:
--- a/src/anvilhall/logs.py
+++ b/src/anvilhall/logs.py
@@ -9,11 +9,15 @@
 import msgspec
 
 from anvilhall.clock import Clock
+from anvilhall.core.messages import Ask, Grant
+from anvilhall.exceptions import AnvilhallError
 
 #: Rate limit in lines per second: logging takes CPU time from requests.
 _LINES_PER_S = 300
 #: Limit on the bytes buffered for a slow reader of the log.
 _BACKLOG_BYTES = 256 * 1024
+#: Limit on the prompt parts in a line; callers state their number.
+_LOGGED_PARTS = 16
 
 #: Called with the reason for which a line was dropped.
 OnDrop = Callable[[str], None]
@@ -104,3 +108,34 @@
     :param fields: details, encodable as JSON.
     """
     eliot.log_message(message_type=f'anvilhall:{kind}', **fields)
+
+
+def log_failed_attempt(
+    ask: Ask,
+    grant: Grant,
+    error: AnvilhallError,
+    *,
+    elapsed_s: float,
+    first_token_s: float,
+) -> None:
+    """Log that a runner has failed a request.
+
+    The prompt parts tell whether failures of several runners have a part in
+    common.
+
+    :param elapsed_s: seconds since the grant.
+    :param first_token_s: seconds from the grant to the first token; 0: none.
+    """
+    log_event(
+        'attempt_failed',
+        request_id=ask.request_id,
+        class_name=ask.class_name,
+        account=ask.account,
+        pool=grant.pool,
+        runner=grant.runner,
+        result=error.code,
+        reason=error.reason,
+        elapsed_s=round(elapsed_s, 3),
+        first_token_s=round(first_token_s, 3),
+        parts=[part for part, _ in ask.parts[:_LOGGED_PARTS]],
+    )
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -18,6 +18,7 @@
     UpstreamRefused,
 )
 from anvilhall.grants import PendingGrant
+from anvilhall.logs import log_failed_attempt
 from anvilhall.relayjobs import RelayJob, RelayServices
 
 #: Time left until the deadline, in seconds, below which no retry is made.
@@ -120,11 +121,9 @@
     async def _run_attempt(self) -> None:
         job = self._job
         now = self._services.clock.monotonic()
+        ask = job.build_ask(now, self._avoid)
         try:
-            grant = await PendingGrant().wait(
-                self._services.broker,
-                job.build_ask(now, self._avoid),
-            )
+            grant = await PendingGrant().wait(self._services.broker, ask)
         finally:
             waited_s = self._services.clock.monotonic() - now
             self.waits_s.append(round(waited_s, 3))
@@ -139,6 +138,13 @@
             if error.outcome is not Outcome.NOT_RUN:
                 self._may_have_run = True
             self._avoid = (*self._avoid, grant.runner)
+            log_failed_attempt(
+                ask,
+                grant,
+                error,
+                elapsed_s=attempt.measure_elapsed_s(),
+                first_token_s=attempt.first_token_s,
+            )
             raise
         finally:
             self.sends += attempt.transfer.sent
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -83,6 +83,29 @@
     asyncio.run(scenario())
 
 
+def test_failed_attempt_is_logged_with_its_prompt_parts(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'anvilhall.logs.log_event',
+        lambda kind, **fields: lines.append((kind, fields)),
+    )
+
+    async def scenario():
+        async with run_site(engines=1) as site:
+            site.runners['llm-0'].behaviours.append('reset')
+            headers = {'Anvilhall-Prefix-Hash': 'aa:10,bb:20,cc:5'}
+            await site.fetch(
+                '/brief/1', method='POST', body=b'q', headers=headers
+            )
+            kind, fields = lines[-1]
+            assert kind == 'attempt_failed'
+            assert fields['runner'] == 'llm-0'
+            assert fields['result'] == 'upstream_cut'
+            assert fields['parts'] == ['aa', 'bb', 'cc']
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     'behaviour', ['endless-head', 'endless-info', 'endless-body']
 )
