Reproduce the query of death in a test that fails

Cause: nothing connects the crashes of runners with the prompt part that the requests behind them share. Change: the stand-in for a runner crashes when it begins to answer a prompt with a given part; the test sends 16 requests with that part over two instances, beside sound ones of the same account and first part.

--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -24,6 +24,9 @@
 ``cut-head``, ``cut-after-head``, ``cut-body``: run the request, then reset the
     connection within the head, after it or within the body of the response.
 ``drip``: stream one event and then, byte by byte, one that never ends.
+
+A runner with ``deadly_parts`` crashes when it begins to answer a request whose
+prompt has one of them: all connections are reset, and it is away for a while.
 """
 
 import asyncio
@@ -37,6 +40,7 @@
 _SEAL = 'Anvilhall-Server-Seal'
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
+_PARTS = 'Anvilhall-Prefix-Hash'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
 #: Bytes sent before a response is cut, as a share of the size of its head.
 _CUT_SHARES = {'cut-head': 0.5, 'cut-after-head': 1.0, 'cut-body': 1.05}
@@ -44,6 +48,8 @@
 _EVENT_S = 0.01
 #: Pause in seconds after each byte of an event that never ends.
 _DRIP_S = 0.05
+#: Seconds for which a runner is away after a crash.
+_AWAY_S = 0.3
 #: Pause in seconds between a response and the start of its copy.
 _COPY_DELAY_S = 0.002
 
@@ -67,6 +73,12 @@
         """Identifier that the gateway sent with the request."""
         return self.headers.get(_ID, '')
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Identifiers of the prompt's parts."""
+        entries = self.headers.get(_PARTS, '').split(',')
+        return frozenset(entry.partition(':')[0] for entry in entries)
+
 
 class StandInRunner:
     """One runner on the loopback interface."""
@@ -96,6 +108,10 @@
         #: Minimum size in bytes of a plain response's body (padded).
         self.body_bytes = 0
         self.address = ''
+        #: Prompt parts that crash the runner.
+        self.deadly_parts: frozenset[str] = frozenset()
+        self._restart: asyncio.Task[None] | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         #: Rest of a copy to be sent before the next response, by connection.
         self._copies: dict[asyncio.StreamWriter, bytes] = {}
         #: Responses after which the connection ends, by behaviour.
@@ -121,20 +137,36 @@
 
     def stop(self) -> None:
         """Stop accepting connections."""
+        if self._restart:
+            self._restart.cancel()
         if self._server:
             self._server.close()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones for a while."""
+        self.stop()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._restart = asyncio.ensure_future(self._return())
+
+    async def _return(self) -> None:
+        await asyncio.sleep(_AWAY_S)
+        host, port = self.address.split(':')
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(
             asyncio.IncompleteReadError,
             ConnectionError,
         ):
             while await self._handle_request(reader, writer):
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _handle_request(
@@ -181,6 +213,10 @@
         if behaviour == 'reset':
             writer.transport.abort()
             return False
+        if request.parts & self.deadly_parts:
+            await self._send_part(1.0, request, writer)
+            self.crash()
+            return False
         if behaviour == 'mute' or not await self._work(request, reader):
             await reader.read()
             self.disconnected_ids.append(request.request_id)
--- /dev/null
+++ b/tests/test_query_of_death.py
@@ -0,0 +1,74 @@
+"""Requests whose content crashes runners, seen from callers and runners."""
+
+import asyncio
+
+from anvilhall.exceptions import UpstreamCut
+from tests.site import run_site, wait_until
+
+#: Runners that may crash before requests of the kind must be known, and
+#: requests of the kind that may reach runners after that.
+CRASHES = 5
+LATE_REQUESTS = 3
+
+
+async def fetch(site, path, parts, **fields):
+    """Send a request with a prompt of these parts.
+
+    :return: the status of the response; 0 if it was cut.
+    """
+    sizes = ','.join(f'{part}:10' for part in parts)
+    headers = {'Anvilhall-Prefix-Hash': sizes}
+    try:
+        reply = await site.fetch(
+            path, method='POST', body=b'q', headers=headers, **fields
+        )
+    except UpstreamCut:
+        return 0
+    return reply.status
+
+
+def set_deadly_part(site, part):
+    """Have a part crash every engine that begins to answer it."""
+    for runner in site.runners.values():
+        runner.deadly_parts = frozenset((part,))
+
+
+def count_sent(site, part):
+    """Return how many requests with a part have reached runners."""
+    return sum(
+        part in request.parts
+        for runner in site.runners.values()
+        for request in runner.runs
+    )
+
+
+# Guards against one kind of request that crashes runner after runner, because
+# nothing connects the crashes with the part that the requests share.
+def test_requests_that_crash_runners_no_longer_reach_them():
+    async def scenario():
+        async with run_site(engines=8, events=3) as site:
+            second = await site.add_gateway('g2')
+            await wait_until(lambda: second.ready and second.describe().linked)
+            set_deadly_part(site, 'bad')
+            sound = []
+            for turn in range(16):
+                gateway = f'g{turn % 2 + 1}'
+                deadly = fetch(
+                    site,
+                    f'/brief/{turn}',
+                    ('first', 'doc', 'bad', f'own-{turn}'),
+                    gateway=gateway,
+                )
+                beside = fetch(
+                    site,
+                    f'/brief/beside-{turn}',
+                    ('first', f'doc-{turn % 3}', f'own-beside-{turn}'),
+                    gateway=gateway,
+                )
+                _, status = await asyncio.gather(deadly, beside)
+                sound.append(status)
+                await asyncio.sleep(0.1)
+            assert count_sent(site, 'bad') <= CRASHES + LATE_REQUESTS
+            assert set(sound[-6:]) == {200}
+
+    asyncio.run(scenario())
