Quarantine prompts that crash runners

Cause: a query of death. The owner of a pool judged runners, never requests: nothing connected the crashes of several runners with the prompt part that the requests behind them share. Evidence: attempt_failed on the Association's small site: in each of 12 crashes exactly one attempt has the part. Change: the owner keeps, for each part, the starts of runners that crashed under a request with it since a request with it was last served. Three crashes, two requests, and others served meanwhile make a cause (five crashes over 0.3 s if nothing else is served). Of parts with the same crashes the rarest one is blamed; what always comes together is one entry, refused only as a whole, and a part that is served alone leaves it. Entries go to all instances over the links; the owner lets one probe through after 10 s, then at four times the interval. A new owner gets the losses of the last 30 s from the instances. Refusals are 503 quarantined, which is true: not run. Ruled out: blaming all parts of the requests that were cut (the first part is in most of them); counting each cut answer (one runner that breaks off answers is one start).

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -12,6 +12,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.directory import Directory
 from anvilhall.core.fallback import Fallback, OwnerTimeouts
+from anvilhall.core.losses import RecentLosses
 from anvilhall.core.messages import (
     Ask,
     Grant,
@@ -25,7 +26,9 @@
 )
 from anvilhall.core.owner import NOT_OWNER, Owner, OwnerMessage
 from anvilhall.core.policies import DEFAULT_POLICY
+from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.reads import RecentPrompts
+from anvilhall.core.runners import name_start
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import (
     NoRunner,
@@ -139,6 +142,7 @@
         '_directory',
         '_fallback',
         '_forward',
+        '_losses',
         '_name',
         '_owners',
         '_pending',
@@ -147,6 +151,7 @@
         '_send',
         'on_wait',
         'owner',
+        'quarantine',
     )
 
     def __init__(
@@ -170,6 +175,9 @@
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
         self._prompts = RecentPrompts()
+        self._losses = RecentLosses()
+        #: Prompts that are refused, whoever owns the shards.
+        self.quarantine = Quarantine()
         #: Called when a new request was not answered at once.
         self.on_wait: Callable[[], None] = _do_nothing
         #: Shards that this instance owns. Answers to its own requests are
@@ -179,6 +187,7 @@
             self._route_answer,
             policy,
             timeouts.settling_s,
+            quarantine=self.quarantine,
         )
         self._fallback = Fallback(
             clock,
@@ -186,6 +195,7 @@
             policy,
             timeouts,
             name,
+            self.quarantine,
         )
 
     @property
@@ -223,6 +233,10 @@
         """Release the grant of a request that has ended."""
         running = self._running.pop(release.request_id, None)
         if running:
+            runner = running.grant.runner
+            start = name_start(runner, self._directory.get_born(runner))
+            now = self._clock.monotonic()
+            self._losses.note_release(running.ask, release, start, now)
             self._report(running.target, release)
 
     def handle_answer(self, sender: str, message: OwnerMessage) -> None:
@@ -275,7 +289,8 @@
             for read in self._prompts.list_prompts(pool)
             if read.runner in runners
         )
-        return Inventory(pool=pool, held=held, reads=reads)
+        losses = self._losses.list_losses(pool, self._clock.monotonic())
+        return Inventory(pool=pool, held=held, reads=reads, losses=losses)
 
     def handle_link_up(self, instance: str) -> None:
         """Report the inventory of each shard that a reconnected instance owns.
@@ -524,4 +539,5 @@
         tokens=running.tokens,
         max_tokens=running.ask.max_tokens,
         tier=running.ask.tier,
+        parts=running.ask.part_names,
     )
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -129,6 +129,11 @@
             and member.failure_domain not in unreachable
         ]
 
+    def get_born(self, runner: str) -> int:
+        """Return when a runner started, in Unix milliseconds; 0: unknown."""
+        member = self._members.get(runner)
+        return member.born if member else 0
+
     def is_leaving(self, runner: str) -> bool:
         """Return whether a runner is leaving or unknown."""
         member = self._members.get(runner)
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -6,6 +6,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.messages import Ask, Progress, Release
 from anvilhall.core.owner import Deliver, Owner
+from anvilhall.core.quarantine import Quarantine
 
 
 class OwnerTimeouts(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,17 +36,26 @@
         policy: str,
         timeouts: OwnerTimeouts,
         name: str,
+        quarantine: Quarantine,
     ) -> None:
         """Create the fallback without shards.
 
         :param name: name of this instance. It also determines the order in
             which runners are filled: the order differs between instances,
             because they do not know of each other's grants.
+        :param quarantine: prompts to refuse. Only owners probe them.
         """
         self._name = name
         self._timeouts = timeouts
         self._unresponsive: set[str] = set()
-        self.owner = Owner(clock, deliver, policy, salt=name)
+        self.owner = Owner(
+            clock,
+            deliver,
+            policy,
+            salt=name,
+            quarantine=quarantine,
+            may_probe=False,
+        )
 
     def ask(self, ask: Ask, share: float) -> None:
         """Grant, queue or refuse a request.
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -9,7 +9,9 @@
 import cbor2
 import msgspec
 
+from anvilhall.core.evidence import Loss
 from anvilhall.core.members import Member
+from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.exceptions import PeerProtocolBroken
 
 
@@ -44,6 +46,11 @@
     #: Tier from the client account, which overrides that of the class.
     tier: int | None = None
 
+    @property
+    def part_names(self) -> tuple[str, ...]:
+        """Identifiers of the prompt's parts, in order."""
+        return tuple(part for part, _ in self.parts)
+
 
 class Grant(_Message, frozen=True):
     """Permission to send one request to one runner."""
@@ -117,6 +124,8 @@
     max_tokens: int = 0
     #: Tier from the client account, which overrides that of the class.
     tier: int | None = None
+    #: Identifiers of the prompt's parts, in order.
+    parts: tuple[str, ...] = ()
 
 
 class Read(_Message, frozen=True):
@@ -134,6 +143,8 @@
     held: tuple[Held, ...]
     #: Most recent prompts on the shard's runners, oldest first.
     reads: tuple[Read, ...] = ()
+    #: Recent requests of the instance that were cut by crashes.
+    losses: tuple[Loss, ...] = ()
 
 
 class Challenge(_Message, frozen=True):
@@ -215,6 +226,12 @@
     entries: tuple[RunnerNews, ...]
 
 
+class QuarantineNews(_Message, frozen=True):
+    """A new or changed entry; receivers pass it on if it is new to them."""
+
+    entry: QuarantineEntry
+
+
 class SettingsAsk(_Message, frozen=True):
     """Requests a peer's settings if they are newer than an offset."""
 
@@ -267,6 +284,7 @@
     | RunnersRead
     | RunnersAsk
     | RunnersOffer
+    | QuarantineNews
     | SettingsAsk
     | SettingsRecords
     | SettingsOffer
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -21,6 +21,7 @@
     Release,
 )
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES
+from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.core.runners import Runner
 from anvilhall.core.shard import Action, Shard
@@ -60,13 +61,17 @@
     :param settling_s: seconds that a new owner waits for peers' inventories
         before it grants slots.
     :param salt: seed of the order in which runners are filled.
+    :param quarantine: prompts to refuse.
+    :param may_probe: whether the shards let through probes of them.
     """
 
     __slots__ = (
         '_clock',
         '_deliver',
+        '_may_probe',
         '_owned',
         '_policy',
+        '_quarantine',
         '_salt',
         '_endpoints',
         '_settling_s',
@@ -80,9 +85,14 @@
         policy: str = DEFAULT_POLICY,
         settling_s: float = defaults.SETTLING_S,
         salt: str = '',
+        quarantine: Quarantine | None = None,
+        *,
+        may_probe: bool = True,
     ) -> None:
         """Start without owned shards."""
         self._salt = salt
+        self._quarantine = quarantine or Quarantine()
+        self._may_probe = may_probe
         self._settling_s = settling_s
         self._policy = POLICIES.get(policy)
         self._clock = clock
@@ -139,7 +149,14 @@
         """
         if pool in self._owned or pool not in self._tree.pools:
             return
-        shard = Shard(pool, self._tree, self._policy, self._salt)
+        shard = Shard(
+            pool,
+            self._tree,
+            self._policy,
+            self._salt,
+            self._quarantine,
+            may_probe=self._may_probe,
+        )
         shard.set_share(share)
         shard.set_runners(self._endpoints.get(pool, ()))
         until = self._clock.monotonic() + self._settling_s
@@ -212,10 +229,7 @@
             shard.release(message, now)
         else:
             owned.awaited_peers.discard(sender)
-            for held in message.held:
-                shard.adopt(sender, held, now)
-            for read in message.reads:
-                shard.adopt_read(read)
+            _adopt_inventory(shard, sender, message, now)
 
     def _dispatch(self, owned: _OwnedShard) -> None:
         now = self._clock.monotonic()
@@ -256,6 +270,16 @@
         self._deliver(sender, refusal)
 
 
+def _adopt_inventory(
+    shard: Shard, sender: str, inventory: Inventory, now: float
+) -> None:
+    for held in inventory.held:
+        shard.adopt(sender, held, now)
+    for read in inventory.reads:
+        shard.adopt_read(read)
+    shard.screening.adopt_losses(inventory.losses, now)
+
+
 class OwnedSummary(msgspec.Struct, frozen=True):
     """State of one owned shard, for operators."""
 
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -93,6 +93,14 @@
         return self.priority[0]
 
 
+def name_start(runner: str, born: int) -> str:
+    """Return the identifier of one start of a runner.
+
+    :param born: its time in Unix milliseconds; 0: unknown.
+    """
+    return f'{runner}/{born}'
+
+
 def _predict_late_share(gap_s: float, target_s: float) -> float:
     """Return the expected share of streams that a predicted gap makes late."""
     span = _LATE_GAP_SHARE - _SAFE_GAP_SHARE
@@ -164,6 +172,11 @@
         #: Monotonic time of the last report of output of a request.
         self._progress_at = -math.inf
 
+    @property
+    def start_name(self) -> str:
+        """Identifier of this start of the runner."""
+        return name_start(self.name, self.born)
+
     @property
     def suspect(self) -> bool:
         """Whether the runner gets only one request at a time, as a probe."""
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -24,10 +24,12 @@
     Release,
 )
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES, Policy
+from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.queues import ClassQueue, PoolQueue, QueuedRequest
 from anvilhall.core.roster import Roster, RunnerEndpoint
 from anvilhall.core.runners import Assignment, LatencyTargets, Runner
 from anvilhall.core.schedules import is_active
+from anvilhall.core.screening import Screening
 from anvilhall.core.settings import ClassSettings, Pool
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import (
@@ -73,6 +75,7 @@
         '_expired_at',
         '_tree',
         'paused',
+        'screening',
     )
 
     def __init__(
@@ -81,11 +84,20 @@
         tree: Tree,
         policy: Policy | None = None,
         salt: str = '',
+        quarantine: Quarantine | None = None,
+        *,
+        may_probe: bool = True,
     ) -> None:
         """Start with no runners.
 
         :param salt: seed of the order in which runners are filled.
+        :param quarantine: prompts to refuse; shared with the other shards.
+        :param may_probe: whether the shard lets through probes of them.
         """
+        #: Refuses prompts that crash runners.
+        self.screening = Screening(
+            quarantine or Quarantine(), may_probe=may_probe
+        )
         self._policy = policy or POLICIES.get(DEFAULT_POLICY)
         self._pool_name = pool_name
         self._queue = PoolQueue(self._policy)
@@ -153,6 +165,7 @@
             settings = self._check(ask, now)
             shed_request = self._make_room(settings)
         except RequestRefused as error:
+            self.screening.forget(ask.request_id)
             return [_refuse(sender, ask.request_id, error)]
         self._senders[ask.request_id] = sender
         queued = QueuedRequest(ask, settings, now, sender)
@@ -176,7 +189,7 @@
         :param now: monotonic seconds.
         :param wall: wall-clock time, for the schedules of reserves.
         """
-        actions = self._refuse_expired(now)
+        actions = self._refuse_waiting(now)
         while True:
             action = self._grant_next(now, wall)
             if action is None:
@@ -215,6 +228,7 @@
             assignment.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
         )
         if progress.first_token_s:
+            self.screening.note_first_token(progress.request_id, now)
             runner.note_first_token(assignment, progress.first_token_s)
             self._roster.calibrate()
         runner.note_gap(progress.gap_s, now)
@@ -243,6 +257,7 @@
                 assignment.account,
                 release.tokens,
             )
+        self.screening.note_release(release, runner.start_name, now)
         runner.remove_assignment(release.request_id)
         self._release_request(
             assignment.request_id, assignment.account, assignment.class_name
@@ -271,6 +286,9 @@
             assignment.latency_targets = _build_latency_targets(settings)
         assignment.predicted_s = 1.0
         runner.adopt_assignment(assignment)
+        self.screening.note_grant(held.request_id, held.parts)
+        if held.tokens:
+            self.screening.note_first_token(held.request_id, now)
         self._senders[held.request_id] = sender
         self._admission.adopt(held.account, held.class_name)
 
@@ -327,6 +345,7 @@
                 1.0,
             )
         self._admission.check(ask, settings, now)
+        self.screening.check(ask, now)
         return settings
 
     def _make_room(self, settings: ClassSettings) -> QueuedRequest | None:
@@ -337,7 +356,7 @@
             raise Overloaded(retry_after_s=_RETRY_AFTER_S)
         return shed_request
 
-    def _refuse_expired(self, now: float) -> list[Action]:
+    def _refuse_waiting(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for request_id in self._queue.find_expired(now):
             queued = self._queue.remove(request_id)
@@ -347,6 +366,12 @@
                 priority = _get_priority(queued.class_settings)
                 self._expired_at[priority] = now
                 actions.append(_refuse(queued.sender, request_id, error))
+        for refused, refusal in self.screening.list_refused(self._queue, now):
+            self._queue.remove(refused.ask.request_id)
+            self._release_ask(refused.ask)
+            actions.append(
+                _refuse(refused.sender, refused.ask.request_id, refusal)
+            )
         return actions
 
     def _grant_next(self, now: float, wall: dt.datetime) -> Action | None:
@@ -399,6 +424,7 @@
     ) -> Action:
         queued = self._queue.pop(queue, now)
         runner.add_assignment(assignment, queued.ask, now)
+        self.screening.note_grant(queued.ask.request_id, queued.ask.part_names)
         self._granted_tokens += queued.cost_tokens
         grant = self._build_grant(runner, assignment)
         return Action(queued.sender, grant)
@@ -454,6 +480,7 @@
     ) -> None:
         self.paused.discard(request_id)
         self._senders.pop(request_id, None)
+        self.screening.forget(request_id)
         self._admission.release(account, class_name)
 
 
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -151,6 +151,16 @@
     code = 'shutting_down'
 
 
+class Quarantined(RequestRefused):
+    """The prompt has parts that have crashed runners.
+
+    It is refused without a run. One such request is let through from time to
+    time, and if it is served, the others are accepted again.
+    """
+
+    code = 'quarantined'
+
+
 class ClaimUnavailable(RequestRefused):
     """The log could not confirm the claim on the idempotency key in time."""
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -21,6 +21,7 @@
     News,
     Pause,
     Progress,
+    QuarantineNews,
     Queued,
     Refusal,
     Release,
@@ -31,6 +32,7 @@
 from anvilhall.local import LocalConfig
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
+from anvilhall.quarantining import QuarantineExchange
 
 #: Handles messages of one kind, after the fleet's own handling of them.
 Handler = Callable[[str, Message], None]
@@ -69,6 +71,7 @@
         'broker',
         'get_settings_offset',
         'on_work',
+        'quarantine',
     )
 
     def __init__(
@@ -136,6 +139,16 @@
             ),
         )
 
+        self.quarantine = QuarantineExchange(
+            config.instance,
+            self.broker.quarantine,
+            clock,
+            metrics,
+            self.broadcast,
+            self._try_send,
+        )
+        self.add_handler(QuarantineNews, self.quarantine.handle_news)
+
     @property
     def live(self) -> list[str]:
         """Live instances of the own region."""
@@ -285,6 +298,7 @@
         if self._leaving:
             # A peer that has just started missed the earlier announcement.
             self._broadcast_news([self._membership.leave()])
+        self.quarantine.send_entries(name)
         self.broker.handle_link_up(name)
 
     def _handle_link_down(self, name: str) -> None:
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -39,6 +39,7 @@
         'failures',
         'unknown_messages',
         'publications',
+        'quarantine_changes',
     )
 
     def __init__(self) -> None:
@@ -105,6 +106,11 @@
             'Publications folded, by the code of their refusal.',
             _CODE,
         )
+        self.quarantine_changes = self._add_counter(
+            'quarantine_changes',
+            'Entries of the quarantine that were added, changed or withdrawn.',
+            'event',
+        )
         self.internal_errors = self._add_counter(
             'internal_errors',
             'Faults of this program that ended periodic work.',
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -72,3 +72,38 @@
             assert set(sound[-6:]) == {200}
 
     asyncio.run(scenario())
+
+
+# Guards against a new owner that starts to count crashes anew, or that admits
+# what its predecessor had quarantined.
+def test_quarantine_survives_the_owner_of_the_runners():
+    async def scenario():
+        async with run_site(engines=8, events=3) as site:
+            second = await site.add_gateway('g2')
+            await wait_until(lambda: second.ready and second.describe().linked)
+            for turn in range(12):
+                path = f'/brief/{turn}'
+                assert await fetch(site, path, ('first', 'doc', 'x')) == 200
+            set_deadly_part(site, 'bad')
+            owner = next(
+                name
+                for name, gateway in site.gateways.items()
+                for owned in gateway.describe().owned
+                if owned.pool == 'llm'
+            )
+            other = 'g1' if owner == 'g2' else 'g2'
+            for turn in range(16):
+                parts = ('first', 'doc', 'bad', f'own-{turn}')
+                await fetch(site, f'/brief/{turn}', parts, gateway=other)
+                status = await fetch(
+                    site,
+                    f'/brief/s{turn}',
+                    ('first', 'doc', 'y'),
+                    gateway=other,
+                )
+                if turn == 2:
+                    await site.gateways[owner].stop()
+            assert status == 200
+            assert count_sent(site, 'bad') <= CRASHES + LATE_REQUESTS
+
+    asyncio.run(scenario())
