Blame no popular part before the losses of a crash are complete

What callers saw: in at least 2 of 12 runs of test_query_of_death on loopback, all requests with the first part were refused. Cause: a crash is reported by each instance and request in turn. When the sound request beside the cause was reported first, the popular first part had one crash more than the deadly part and was blamed alone. Evidence: the log of the failed runs: five cut requests, then quarantine_changed with the first part only, before the deadly request's own line. Change: a part is not blamed while a rarer one accounts for all of its crashes but one. Ruled out: a pause before deciding; reports of a suspended instance may be seconds late.

--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -153,6 +153,7 @@
             part: self._suspects[part]
             for part in sorted(self._repeated)
             if self._is_ripe(part, self._suspects[part])
+            and not self._has_better_suspect(self._suspects[part])
         }
         if not ripe:
             return []
@@ -183,6 +184,19 @@
         served = self._served - suspect.served_before
         return crashes >= needed and served >= others
 
+    def _has_better_suspect(self, suspect: _Suspect) -> bool:
+        """Return whether a rarer part accounts for all but one of the crashes.
+
+        Its loss in the last crash may not have been reported yet.
+        """
+        losses = suspect.count_requests()
+        least = max(_CRASHES_OF_KNOWN_PART, len(suspect.crashes) - 1)
+        return any(
+            len(other.crashes.keys() & suspect.crashes.keys()) >= least
+            and other.count_requests() < losses
+            for other in map(self._suspects.__getitem__, self._repeated)
+        )
+
     def _list_common_parts(
         self, part: str, suspect: _Suspect
     ) -> tuple[str, ...]:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -133,3 +133,24 @@
         pool.evidence.note_explained(known)
         assert not pool.crash(('first', 'doc-5'), runner=runner)
         pool.serve(5, 'first', 'doc-1')
+
+
+# Guards against blaming a popular part because a sound request was reported
+# before the one behind the crash.
+def test_popular_part_is_not_blamed_before_the_losses_are_complete():
+    pool = Pool()
+    for turn in range(4):
+        assert not pool.crash(('first', 'bad'), ('first', f'doc-{turn}'))
+    assert not pool.crash(('first', 'doc-9'), runner='runner-last')
+    assert pool.crash(('first', 'bad'), runner='runner-last') == [
+        ('first', 'bad')
+    ]
+
+
+def test_popular_part_is_not_blamed_for_a_crash_without_a_known_cause(pool):
+    for turn in range(2):
+        assert not pool.crash(('first', 'bad'), ('first', f'doc-{turn}'))
+        pool.serve(15, 'other')
+    assert not pool.crash(('first', 'doc-8'))
+    pool.serve(15, 'other')
+    assert pool.crash(('first', 'bad')) == [('first', 'bad')]
