Keep quarantined prompts in the platform's store

What callers would see: after all instances were replaced at once, the deadly prompt crashed runners anew. Cause: the quarantine lived in the processes only, and none of them keeps anything. Change: the instance that decides on an entry writes it beside the records of the instances, again until the store takes it; a withdrawn entry is removed. Every instance reads it with the list that it reads at start, so no call is added but one write an entry. Ruled out: a topic of its own (one more read at each start); reading it from peers only (none is left). Test: test_quarantine_survives_a_restart_of_all_instances and test_quarantine_is_stored_once_the_store_is_back, both failed before.

--- a/src/anvilhall/feeds/instances.py
+++ b/src/anvilhall/feeds/instances.py
@@ -1,4 +1,7 @@
-"""Feed of the instances: registers this one and discovers the others."""
+"""Feed of the instances: registers this one and discovers the others.
+
+The entries of quarantined prompts are in the same topic and are read with it.
+"""
 
 import asyncio
 import random
@@ -6,12 +9,18 @@
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
+from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.exceptions import AppendUncertain, LogUnavailable, UnusableEntry
 from anvilhall.feeds.base import Feed
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
-from anvilhall.platform.registration import decode_instance, encode_instance
-from anvilhall.platform.store import INSTANCES_TOPIC, StoreClient
+from anvilhall.platform.registration import (
+    decode_instance,
+    decode_quarantine,
+    encode_instance,
+    is_quarantine,
+)
+from anvilhall.platform.store import INSTANCES_TOPIC, KeyedRecord, StoreClient
 
 #: Seconds from the registration to the first read of the instance list, in
 #: which instances that start at the same time register, and on the reader of a
@@ -27,7 +36,13 @@
 class InstancesFeed(Feed):
     """Registers this instance and discovers the others."""
 
-    __slots__ = ('_on_change', '_own', '_registered', 'members')
+    __slots__ = (
+        '_on_change',
+        '_on_quarantine',
+        '_own',
+        '_registered',
+        'members',
+    )
 
     def __init__(
         self,
@@ -37,11 +52,13 @@
         metrics: Metrics,
         rng: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
+        on_quarantine: Callable[[QuarantineEntry], None],
         is_reader: Callable[[], bool],
     ) -> None:
         """Start with this instance only.
 
         :param on_change: called with all instances after a change.
+        :param on_quarantine: called with each quarantined prompt at each read.
         """
         super().__init__(
             INSTANCES_TOPIC,
@@ -54,6 +71,7 @@
         self._own = own
         self._registered = False
         self._on_change = on_change
+        self._on_quarantine = on_quarantine
         self.members: tuple[Member, ...] = (own,)
 
     async def _follow_topic(self) -> None:
@@ -83,15 +101,20 @@
         self._record_success()
         found = {self._own.name: self._own}
         for record in page.records:
-            if record.content is None:
-                continue
-            try:
-                member = decode_instance(record)
-            except UnusableEntry as error:
-                log_event('entry_unusable', reason=error.reason)
-                continue
-            found.setdefault(member.name, member)
+            member = self._decode(record) if record.content else None
+            if member:
+                found.setdefault(member.name, member)
         members = tuple(found[name] for name in sorted(found))
         if members != self.members:
             self.members = members
             self._on_change(members)
+
+    def _decode(self, record: KeyedRecord) -> Member | None:
+        """Return the instance of a record, or pass on a quarantined prompt."""
+        try:
+            if not is_quarantine(record):
+                return decode_instance(record)
+            self._on_quarantine(decode_quarantine(record))
+        except UnusableEntry as error:
+            log_event('entry_unusable', reason=error.reason)
+        return None
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -19,6 +19,7 @@
     SettingsOffer,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
+from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
     RequestLimits,
@@ -27,6 +28,7 @@
 )
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
 from anvilhall.feeds.instances import InstancesFeed
+from anvilhall.feeds.quarantine import QuarantineWriter
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
 from anvilhall.fleet import BuildLinks, Fleet
@@ -68,6 +70,7 @@
         '_fleet',
         '_instances_feed',
         '_operators',
+        '_quarantine_writer',
         '_relay_config',
         '_runners',
         '_runners_feed',
@@ -138,8 +141,13 @@
             self.metrics,
             rng,
             self._apply_instances,
+            self._fleet.quarantine.apply_stored,
             self._reads_registry,
         )
+        self._quarantine_writer = QuarantineWriter(
+            store, clock, self.metrics, rng
+        )
+        self._fleet.quarantine.on_decision = self._quarantine_writer.put
         services = RelayServices(
             self._fleet.broker,
             outbound,
@@ -194,6 +202,12 @@
         """Runners of all pools that the store lists."""
         return self._runners
 
+    @property
+    def quarantined(self) -> tuple[QuarantineEntry, ...]:
+        """Prompts that are refused because they have crashed runners."""
+        entries = self._fleet.broker.quarantine.entries
+        return tuple(entry for entry in entries if entry.parts)
+
     async def start(self) -> None:
         """Open the listening sockets and start the background tasks."""
         await self._fleet.listen()
@@ -208,6 +222,7 @@
         self._tasks.spawn(self._settings_feed.run)
         self._tasks.spawn(self._runners_feed.run)
         self._tasks.spawn(self._instances_feed.run)
+        self._tasks.spawn(self._quarantine_writer.run)
         self._tasks.repeat(
             self._send_heartbeats,
             self._config.timings.heartbeat_interval_s,
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -1,8 +1,9 @@
-"""Store entries of runners and of instances of this system."""
+"""Store entries of runners, and those that this system keeps for itself."""
 
 import msgspec
 
 from anvilhall.core.members import Member
+from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.settings import SettingsFaulty
 from anvilhall.exceptions import UnusableEntry
 from anvilhall.local import split_address
@@ -10,6 +11,9 @@
 
 _READY = 'ready'
 _DRAINING = 'draining'
+#: Prefix of the keys of quarantined prompts, which share the topic of the
+#: instances, so that one read returns both. Names of instances have no slash.
+_QUARANTINE_PREFIX = 'quarantine/'
 
 
 class _Server(msgspec.Struct):
@@ -90,3 +94,25 @@
         member.capacity,
     )
     return KeyedRecord(member.name, msgspec.json.encode(entry))
+
+
+def is_quarantine(record: KeyedRecord) -> bool:
+    """Return whether a record is the entry of a quarantined prompt."""
+    return record.key.startswith(_QUARANTINE_PREFIX)
+
+
+def decode_quarantine(record: KeyedRecord) -> QuarantineEntry:
+    """Decode the entry of a quarantined prompt.
+
+    :raises UnusableEntry: if the entry is malformed.
+    """
+    try:
+        return msgspec.json.decode(record.content or b'', type=QuarantineEntry)
+    except msgspec.DecodeError as error:
+        raise UnusableEntry(f'{record.key}: {error}') from error
+
+
+def encode_quarantine(entry: QuarantineEntry) -> KeyedRecord:
+    """Encode the entry of a quarantined prompt; a withdrawn one is removed."""
+    content = msgspec.json.encode(entry) if entry.parts else None
+    return KeyedRecord(f'{_QUARANTINE_PREFIX}{entry.key}', content)
--- a/src/anvilhall/quarantining.py
+++ b/src/anvilhall/quarantining.py
@@ -9,7 +9,7 @@
 from anvilhall.metrics import Metrics
 
 #: Source of entries that were read from the platform's store.
-STORE = 'store'
+_STORE = 'store'
 
 
 class QuarantineExchange:
@@ -61,6 +61,10 @@
             self._log_change(entry, source)
             self._broadcast(QuarantineNews(entry))
 
+    def apply_stored(self, entry: QuarantineEntry) -> None:
+        """Apply an entry of the platform's store."""
+        self.apply(entry, _STORE)
+
     def send_entries(self, instance: str) -> None:
         """Send all entries to an instance whose link has come up."""
         for entry in self._quarantine.entries:
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from anvilhall.exceptions import UpstreamCut
+from anvilhall_standins.serving import Fault
 from tests.site import run_site, wait_until
 
 #: Runners that may crash before requests of the kind must be known, and
@@ -107,3 +108,53 @@
             assert count_sent(site, 'bad') <= CRASHES + LATE_REQUESTS
 
     asyncio.run(scenario())
+
+
+# Guards against a quarantine that is lost when all instances are replaced.
+def test_quarantine_survives_a_restart_of_all_instances():
+    async def scenario():
+        async with run_site(engines=8, events=3) as site:
+            for turn in range(12):
+                path = f'/brief/{turn}'
+                assert await fetch(site, path, ('first', 'doc', 'x')) == 200
+            set_deadly_part(site, 'bad')
+            for turn in range(8):
+                deadly = ('first', 'doc', 'bad', f'own-{turn}')
+                await fetch(site, f'/brief/{turn}', deadly)
+                sound = ('first', 'doc', f'own-s{turn}')
+                await fetch(site, f'/brief/s{turn}', sound)
+            sent = count_sent(site, 'bad')
+            assert sent <= CRASHES
+            site.gateways['g1'].close()
+            gateway = await site.restart_gateway('g1')
+            await wait_until(lambda: gateway.ready)
+            await wait_until(lambda: gateway.quarantined)
+            for turn in range(8):
+                deadly = ('first', 'doc', 'bad', f'own-{turn}')
+                status = await fetch(site, f'/brief/{turn}', deadly, fresh=True)
+                assert status == 503
+            assert count_sent(site, 'bad') == sent
+
+    asyncio.run(scenario())
+
+
+# Guards against an entry that is lost because the store was away when an
+# instance decided on it.
+def test_quarantine_is_stored_once_the_store_is_back():
+    async def scenario():
+        async with run_site(engines=8, events=3) as site:
+            set_deadly_part(site, 'bad')
+            site.store.faults.start(Fault('down', for_s=60))
+            for turn in range(9):
+                await fetch(site, f'/brief/{turn}', ('doc', 'bad', 'own'))
+                await asyncio.sleep(0.05)
+            assert site.gateways['g1'].quarantined
+            site.store.faults.start(Fault('down', for_s=0))
+            topic = site.store.topics['keyed.instances']
+            await wait_until(
+                lambda: any(
+                    key.startswith('quarantine/') for key in topic.newest
+                )
+            )
+
+    asyncio.run(scenario())
