Take a stream that ends within an event as cut

What callers saw: a stream without length and chunks whose runner broke it off ended as if it were whole, and a resumable one was not resumed; the quarantine would have taken it for served. Cause: such a response ends with its connection, and libcurl reports that as success. Nothing looked at the events. Change: an attempt on a streaming route whose response does not end at the end of an event fails as upstream_cut. Chat completions of our own interface were safe: they look for the last event.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -8,6 +8,7 @@
 
 from anvilhall.core.messages import Grant, Progress, Release
 from anvilhall.dialect import CallHead
+from anvilhall.events import EventBorder
 from anvilhall.exceptions import (
     AnvilhallError,
     RequestRefused,
@@ -81,6 +82,7 @@
     """The exchange with the runner of one grant."""
 
     __slots__ = (
+        '_border',
         '_buffer',
         '_buffer_size',
         '_forwarding',
@@ -126,6 +128,7 @@
         self._buffer: list[bytes] = []
         self._buffer_size = 0
         self._response_head: tuple[int, HTTPHeaders] | None = None
+        self._border = EventBorder()
         #: Whether chunks are forwarded at once instead of buffered.
         self._forwarding = False
         #: Failure found in the response, which ends the attempt.
@@ -152,8 +155,9 @@
         finally:
             if self._timer:
                 self._timer.cancel()
-        if self._problem:
-            self._raise_failure(self._problem)
+        problem = self._problem or self._check_end()
+        if problem:
+            self._raise_failure(problem)
         self._flush()
         self.served = True
 
@@ -265,9 +269,23 @@
             return error
         return None
 
+    def _check_end(self) -> AnvilhallError | None:
+        """Return the failure if a stream has ended within an event.
+
+        A response without length and chunks ends with its connection, so that
+        a runner that breaks it off looks as if it had completed it.
+        """
+        if not self._job.route.streaming or self._response_head is None:
+            return None
+        status, _ = self._response_head
+        if status >= HTTPStatus.MULTIPLE_CHOICES or self._border.reached:
+            return None
+        return UpstreamCut('the stream ended within an event')
+
     def _handle_chunk(self, chunk: bytes) -> None:
         if self._problem:
             return
+        self._border.feed(chunk)
         now = self._services.clock.monotonic()
         if self.first_token_s:
             self._listener.note_gap(now - self._last_chunk_at)
--- a/src/anvilhall/events.py
+++ b/src/anvilhall/events.py
@@ -10,6 +10,9 @@
 
 #: Ends an event.
 SEPARATOR = b'\n\n'
+_SEPARATORS = (SEPARATOR, b'\r\n\r\n')
+#: Size of the longest separator.
+_BORDER_BYTES = 4
 #: Last event of a complete answer.
 DONE_EVENT = b'data: [DONE]\n\n'
 _DATA = b'data:'
@@ -155,6 +158,25 @@
             raise UpstreamGarbled('the engine sent an error in the stream')
 
 
+class EventBorder:
+    """Tells whether a stream of bytes stands at the end of an event."""
+
+    __slots__ = ('_tail',)
+
+    def __init__(self) -> None:
+        """Start before the first byte, which is not the end of an event."""
+        self._tail = b''
+
+    @property
+    def reached(self) -> bool:
+        """Whether the last byte ended an event."""
+        return self._tail.endswith(_SEPARATORS)
+
+    def feed(self, chunk: bytes) -> None:
+        """Note the next chunk of the stream."""
+        self._tail = (self._tail + chunk[-_BORDER_BYTES:])[-_BORDER_BYTES:]
+
+
 class EventFramer:
     """Splits any event stream into whole events and tracks the last ID."""
 
@@ -207,7 +229,7 @@
     """Return the end of the last whole event; 0 if there is none."""
     ends = [
         chunk.rfind(separator) + len(separator)
-        for separator in (SEPARATOR, b'\r\n\r\n')
+        for separator in _SEPARATORS
         if separator in chunk
     ]
     return max(ends, default=0)
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -23,6 +23,8 @@
 ``unread``: reset the connection without reading the request.
 ``cut-head``, ``cut-after-head``, ``cut-body``: run the request, then reset the
     connection within the head, after it or within the body of the response.
+``unframed-stream``: stream all events without chunks, then close.
+``unframed-stream-cut-N``: the same, but close after N bytes of the events.
 ``drip``: stream one event and then, byte by byte, one that never ends.
 
 A runner with ``deadly_parts`` crashes when it begins to answer a request whose
@@ -50,6 +52,8 @@
 _DRIP_S = 0.05
 #: Seconds for which a runner is away after a crash.
 _AWAY_S = 0.3
+#: Largest piece of a padded body.
+_PIECE_BYTES = 64 * 1024
 #: Pause in seconds between a response and the start of its copy.
 _COPY_DELAY_S = 0.002
 
@@ -122,6 +126,7 @@
             'endless-info': self._send_without_end,
             'endless-body': self._send_without_end,
             'drip': self._drip,
+            'unframed-stream': self._stream_unframed,
         }
         self._server: asyncio.Server | None = None
 
@@ -246,7 +251,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         status = _ERROR_STATUSES.get(behaviour)
-        last_response = self._last_responses.get(behaviour)
+        kind, _, _ = behaviour.partition('-cut-')
+        last_response = self._last_responses.get(kind)
         if last_response:
             await last_response(behaviour, request, writer)
             return False
@@ -257,14 +263,32 @@
         elif self.events:
             return await self._stream(request, writer)
         else:
-            body = self._build_body(request)
-            self._respond(writer, request, 200, body)
+            await self._send_padded(request, writer)
             if behaviour == 'twice':
                 self._respond(writer, request, 200, b'again')
             elif behaviour.startswith('copy-'):
                 await self._copy_response(behaviour, request, writer)
         return True
 
+    async def _send_padded(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send a body of at least ``body_bytes``, padded in pieces.
+
+        A large body in one piece would take seconds of the event loop on a busy
+        machine, for memory that was not used before.
+        """
+        body = self._build_body(request)
+        missing = max(0, self.body_bytes - len(body))
+        self._respond(writer, request, 200, body, missing=missing)
+        while missing > 0:
+            await writer.drain()
+            piece = min(missing, _PIECE_BYTES)
+            writer.write(b' ' * piece)
+            missing -= piece
+
     async def _copy_response(
         self,
         behaviour: str,
@@ -298,6 +322,28 @@
             writer.write(b'unframed')
         await writer.drain()
 
+    async def _stream_unframed(
+        self,
+        behaviour: str,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (
+            f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
+            f'{_SEAL}: {self.name}.{request.request_id}\r\n'
+            'Content-Type: text/event-stream\r\n\r\n'
+        )
+        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        events = b''.join(
+            b'id: %d\ndata: event %d\n\n' % (number, number)
+            for number in range(first, self.events + 1)
+        )
+        _, cut, size = behaviour.partition('-cut-')
+        if cut:
+            events = events[: int(size)]
+        writer.write(head.encode() + events)
+        await writer.drain()
+
     async def _send_without_end(
         self,
         behaviour: str,
@@ -353,8 +399,7 @@
         return bool(received)
 
     def _build_body(self, request: ReceivedRequest) -> bytes:
-        body = f'{self.name} ran {request.request_id}'.encode()
-        return body.ljust(self.body_bytes)
+        return f'{self.name} ran {request.request_id}'.encode()
 
     def _respond(
         self,
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -71,6 +71,57 @@
     asyncio.run(scenario())
 
 
+EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in (1, 2, 3))
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/brief/1'])
+def test_stream_that_ends_with_its_connection_is_whole(path):
+    async def scenario():
+        async with run_site(engines=1, events=3) as site:
+            site.runners['llm-0'].behaviours.append('unframed-stream')
+            reply = await site.fetch(path, method='POST', body=b'q')
+            assert reply.body == EVENTS
+            assert count_runs(site) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream whose runner ends within an event and that the caller
+# takes for whole, because neither a length nor chunks tell.
+@pytest.mark.parametrize('size', [0, 3, 7, 8, len(EVENTS) - 1])
+def test_unframed_stream_that_ends_within_an_event_is_cut(size):
+    async def scenario():
+        async with run_site(engines=1, events=3) as site:
+            site.runners['llm-0'].behaviours.append(
+                f'unframed-stream-cut-{size}'
+            )
+            try:
+                reply = await site.fetch('/brief/1', method='POST', body=b'q')
+            except UpstreamCut:
+                return
+            assert reply.status == 502
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('size', [0, 3, 30, len(EVENTS) - 1])
+def test_unframed_stream_that_ends_within_an_event_is_resumed(size):
+    async def scenario():
+        async with run_site(engines=2, events=3) as site:
+            cut = site.runners['llm-0']
+            cut.behaviours.append(f'unframed-stream-cut-{size}')
+            replies = await asyncio.gather(
+                *(
+                    site.fetch(f'/chat/{number}', method='POST', body=b'q')
+                    for number in range(4)
+                ),
+            )
+            assert not cut.behaviours
+            assert {reply.body for reply in replies} == {EVENTS}
+
+    asyncio.run(scenario())
+
+
 def test_slow_stream_with_whole_events_is_not_moved():
     async def scenario():
         async with run_site(engines=2, events=6) as site:
