Send a request that met two crashes to no third runner

What callers saw: on our own interface one chat may be tried four times, and each attempt crashed an engine. Cause: retries looked at the failure of the attempt only; a request that crashes runners has the same failure as those beside it. Change: the owner refuses a request that was cut by two crashes as its answer began, unless its parts were served since. Test: test_request_that_met_two_crashes_gets_no_third_runner, failed before; requests with sound parts go on (test_request_with_sound_parts_goes_on_after_two_crashes, and test_callers' broken answers on two engines). Ruled out: a limit on attempts that were cut in the execution itself; it broke test_broken_answer_is_completed_by_another_engine, whose prompt has no parts.

--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -138,6 +138,18 @@
                 self._repeated.add(part)
         _trim(self._suspects, _MAX_SUSPECTS)
 
+    def count_crashes(self, request_id: str, parts: Iterable[str]) -> int:
+        """Return the crashes that cut a request, unless its parts are sound."""
+        suspects = (self._suspects.get(part) for part in parts)
+        return max(
+            (
+                sum(request_id in losses for losses in suspect.crashes.values())
+                for suspect in suspects
+                if suspect
+            ),
+            default=0,
+        )
+
     def note_explained(self, loss: Loss) -> None:
         """Disregard a crash of which the cause is known."""
         self._explain((loss.runner,))
--- a/src/anvilhall/core/screening.py
+++ b/src/anvilhall/core/screening.py
@@ -12,6 +12,9 @@
 #: a prompt that crashes runners does so as its answer begins. Reports of the
 #: first token may be late.
 _BEGIN_S = 1.0
+#: Crashes that one request may meet, if its prompt has parts that are suspected
+#: of them.
+_MAX_CRASHES = 2
 
 
 class _Run:
@@ -52,12 +55,20 @@
     def check(self, ask: Ask, now: float) -> None:
         """Refuse a request whose prompt is quarantined, unless it is a probe.
 
+        One that several crashes have cut is not sent to a further runner.
+
         :param now: monotonic seconds.
         :raises Quarantined: if the request must not run.
         """
+        parts = ask.part_names
         self._quarantine.check(
-            ask.request_id, ask.part_names, now, may_probe=self._may_probe
+            ask.request_id, parts, now, may_probe=self._may_probe
         )
+        crashes = self._evidence.count_crashes(ask.request_id, parts)
+        if crashes >= _MAX_CRASHES:
+            raise Quarantined(
+                f'{crashes} runners have crashed as they began to answer it'
+            )
 
     def list_refused(
         self, waiting: Iterable[QueuedRequest], now: float
--- a/tests/test_screening.py
+++ b/tests/test_screening.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 
+import msgspec
 import pytest
 
 from anvilhall.core.losses import RecentLosses
@@ -222,3 +223,31 @@
         desk.end(f'p{number}', UpstreamCut.code)
         desk.restart_runner()
         desk.now += 20
+
+
+# Guards against one request that crashes a runner in each of its attempts.
+def test_request_that_met_two_crashes_gets_no_third_runner(desk):
+    name, _ = desk.ask(*DEADLY)
+    for _ in range(2):
+        desk.now += 0.5
+        desk.end(name, UpstreamCut.code)
+        desk.restart_runner()
+        actions = desk.shard.submit('e', desk.asks[name], desk.now)
+        actions += desk.shard.dispatch(desk.now, WALL)
+    assert get_code(actions) == Quarantined.code
+
+
+def test_request_with_sound_parts_goes_on_after_two_crashes(desk):
+    name, _ = desk.ask('first', 'doc-1')
+    sound = msgspec.structs.replace(
+        desk.asks[name], parts=(('first', 10), ('doc-1', 10))
+    )
+    desk.end(name)
+    for _ in range(3):
+        actions = desk.shard.submit('e', sound, desk.now)
+        actions += desk.shard.dispatch(desk.now, WALL)
+        assert isinstance(actions[0].message, Grant)
+        desk.now += 0.5
+        desk.end(name, UpstreamCut.code)
+        desk.restart_runner()
+        desk.serve('first', 'doc-1')
