Know every message of a chat but the last as a part of its prompt

What callers saw: a chat with a deadly message behind the first one crashed engine after engine. Cause: our own interface named the first message only, so what the chats had in common was not known. Change: each message before the last one is a part, 16 at most. Beliefs about prefix caches gain by it too: later turns of a conversation are known to be cached.

--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -13,6 +13,8 @@
 
 #: Limit on output tokens, if the caller sets none.
 _MAX_TOKENS = 1024
+#: Messages of a prompt, from the first on, that count as parts.
+_MAX_PARTS = 16
 #: Fields of a chat body by name, undecoded.
 _Fields = dict[str, msgspec.Raw]
 
@@ -60,15 +62,14 @@
 
     @property
     def parts(self) -> tuple[tuple[str, int], ...]:
-        """Prompt parts that a prefix cache may hold: hash and tokens of each.
+        """Prompt parts that other requests may share: hash and tokens of each.
 
-        Only the first message counts as one, if other messages follow it.
+        These are the messages before the last one.
         """
-        if len(self.messages) == 1:
-            return ()
-        first = bytes(self.messages[0])
-        digest = hashlib.blake2b(first, digest_size=8)
-        return ((digest.hexdigest(), len(first) // defaults.BYTES_PER_TOKEN),)
+        count = min(len(self.messages) - 1, _MAX_PARTS)
+        return tuple(
+            _describe_part(bytes(message)) for message in self.messages[:count]
+        )
 
 
 class Job:
@@ -144,6 +145,11 @@
         )
 
 
+def _describe_part(message: bytes) -> tuple[str, int]:
+    digest = hashlib.blake2b(message, digest_size=8)
+    return digest.hexdigest(), len(message) // defaults.BYTES_PER_TOKEN
+
+
 def _decode_field(fields: _Fields, name: str, kind: Any) -> Any:
     try:
         return msgspec.json.decode(fields.get(name, b'null'), type=kind)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from anvilhall.clock import SystemClock
@@ -89,6 +90,16 @@
         port = self._serve(name, build_single_write_app())
         self._add_member(name, port, 'd1', 'chat')
 
+    def add_fragile_engine(self, name, deadly):
+        """Add an engine that cuts the answer to chats with a deadly message.
+
+        :return: list of the chats that it received.
+        """
+        received = []
+        port = self._serve(name, build_fragile_app(received, deadly))
+        self._add_member(name, port, 'd1', 'chat')
+        return received
+
     def add_service(self, name, domain='d1', work_s=0.005):
         self.books[name] = ServiceState(work_s)
         port = self._serve(name, build_service_app(self.books[name]))
@@ -203,6 +214,29 @@
     return Application([('/v1/chat/completions', SingleWriteHandler)])
 
 
+class FragileHandler(RequestHandler):
+    """Answers chats at once, but closes the connection on a deadly one."""
+
+    def initialize(self, received, deadly):
+        self._received = received
+        self._deadly = deadly
+
+    async def post(self):
+        self._received.append(self.request.body)
+        if self._deadly in self.request.body:
+            self.set_header('Content-Type', 'text/event-stream')
+            await self.flush()
+            self.request.connection.detach().close()
+            raise StreamClosedError
+        event = encode_event('quick', 'word ', last=True)
+        self.finish(event + b'data: [DONE]\n\n')
+
+
+def build_fragile_app(received, deadly):
+    arguments = {'received': received, 'deadly': deadly}
+    return Application([('/v1/chat/completions', FragileHandler, arguments)])
+
+
 @contextlib.asynccontextmanager
 async def open_cluster(node, instances=1, engines=1, services=1):
     """Yield a ready cluster in one failure domain."""
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 from anvilhall.exceptions import UpstreamCut
 from anvilhall_standins.serving import Fault
+from tests.cluster import Cluster
 from tests.site import run_site, wait_until
 
 #: Runners that may crash before requests of the kind must be known, and
@@ -158,3 +161,39 @@
             )
 
     asyncio.run(scenario())
+
+
+def build_chat(*texts):
+    """Return a chat of these messages."""
+    messages = [{'role': 'user', 'content': text} for text in texts]
+    fields = {'messages': messages, 'max_tokens': 5, 'stream': True}
+    return msgspec.json.encode(fields)
+
+
+# Guards against a message behind the first one that crashes engine after
+# engine, because only the first message was known as a part of the prompt.
+def test_chats_that_crash_engines_no_longer_reach_them(root):
+    async def scenario():
+        cluster = Cluster()
+        received = [
+            cluster.add_fragile_engine(f'chat-{number}', b'deadly')
+            for number in range(8)
+        ]
+        cluster.publish(root)
+        for name in ('entry-0', 'entry-1'):
+            await cluster.add_instance(name)
+        try:
+            await cluster.wait_ready()
+            for turn in range(16):
+                entry = f'entry-{turn % 2}'
+                deadly = build_chat('sheet', 'deadly', f'question {turn}')
+                await cluster.chat(entry, deadly)
+                sound = build_chat('sheet', f'question {turn}')
+                status, _, _ = await cluster.chat(entry, sound)
+                assert status == 200
+        finally:
+            await cluster.close()
+        sent = sum(b'deadly' in body for chats in received for body in chats)
+        assert sent <= CRASHES + LATE_REQUESTS
+
+    asyncio.run(scenario())
