Narrow a quarantined prompt to what several causes have in common

Cause: an entry was all parts that the first crashes had in common, and a later cause that shares the deadly part with it became an entry of its own. Change: a cause that shares parts with an entry narrows it to these; a part of a known cause that was never served needs two crashes and no second request; parts that were served before are left out of a cause if others never were. Ruled out: narrowing after one crash; a sound request beside any crash could then take the place of the deadly part.

--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -15,7 +15,8 @@
 #: Crashes with a suspected part, without a served request with it, after which
 #: the part is a cause.
 _CRASHES = 3
-#: The same for a part of a known cause that crashes runners without the rest.
+#: The same for a part of a known cause that crashes runners without the rest of
+#: it, and that was never served.
 _CRASHES_OF_KNOWN_PART = 2
 #: Requests with the part among those crashes. One request alone may have been
 #: cut several times by chance.
@@ -183,18 +184,17 @@
         return sorted(causes)
 
     def _is_ripe(self, part: str, suspect: _Suspect) -> bool:
-        if suspect.count_requests() < _REQUESTS:
-            return False
         sound = part in self._sound
         crashes = len(suspect.crashes)
+        if part in self._known and not sound:
+            return crashes >= _CRASHES_OF_KNOWN_PART
+        if suspect.count_requests() < _REQUESTS:
+            return False
         if crashes >= _CRASHES_ALONE and not sound:
             return suspect.span_s >= _CRASHES_ALONE_SPAN_S
-        needed = _CRASHES
-        if part in self._known:
-            needed = _CRASHES_OF_KNOWN_PART
         others = _SERVED_OTHERS_THAN_SOUND if sound else _SERVED_OTHERS
         served = self._served - suspect.served_before
-        return crashes >= needed and served >= others
+        return crashes >= _CRASHES and served >= others
 
     def _has_better_suspect(self, suspect: _Suspect) -> bool:
         """Return whether a rarer part accounts for all but one of the crashes.
@@ -212,17 +212,24 @@
     def _list_common_parts(
         self, part: str, suspect: _Suspect
     ) -> tuple[str, ...]:
-        """Return the suspected parts of all requests with a part, in order."""
+        """Return the suspected parts of all requests with a part, in order.
+
+        Parts that were served before are left out if others were never served.
+        """
         losses = suspect.list_losses()
         common = set(losses[0].parts).intersection(
             *(loss.parts for loss in losses[1:])
         )
-        return tuple(
+        suspected = tuple(
             other
             for other in losses[0].parts
             if other == part
             or (other in common and self._has_crashes(other, suspect))
         )
+        never_served = tuple(
+            other for other in suspected if other not in self._sound
+        )
+        return never_served or suspected
 
     def _has_crashes(self, part: str, suspect: _Suspect) -> bool:
         """Return whether a part is suspected of all crashes of another."""
--- a/src/anvilhall/core/quarantine.py
+++ b/src/anvilhall/core/quarantine.py
@@ -118,7 +118,16 @@
         )
 
     def add(self, parts: tuple[str, ...], now: float) -> None:
-        """Add an entry that this instance has decided on."""
+        """Add a cause of crashes that this instance has found.
+
+        If an entry shares parts with it, those are what crashes runners, and
+        the entry is narrowed to them.
+        """
+        for similar in self.entries:
+            common = tuple(part for part in similar.parts if part in parts)
+            if common:
+                self._decide(_change(similar, parts=common), now)
+                return
         digest = hashlib.blake2b(
             '+'.join(parts).encode(), digest_size=_KEY_BYTES
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -117,3 +117,12 @@
     assert len(quarantine.entries) == 256
     assert is_refused(quarantine, ('part-999',), 1.0)
     assert not is_refused(quarantine, ('part-0',), 1.0)
+
+
+# Guards against a part that is learned anew beside each part that it follows.
+def test_causes_that_share_a_part_are_narrowed_to_it(quarantine):
+    quarantine.add(('doc-2', 'bad'), 1.0)
+    assert [entry.parts for entry in quarantine.entries] == [('bad',)]
+    assert is_refused(quarantine, ('doc-3', 'bad'), 2.0)
+    quarantine.add(('worse',), 3.0)
+    assert len(quarantine.entries) == 2
