Log the limits that runners advertise

Cause: no line told whether an instance had read the limit that a runner names in its answers. Change: the header is decoded in the adapter; a line runner_limited when an answer names another limit than the one before it on the same instance, a counter, and header_unusable for what is no number. No decision changes. Conclusion: the limits arrive and nothing uses them.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -20,6 +20,7 @@
     UpstreamReplaced,
     UpstreamStalled,
 )
+from anvilhall.logs import log_event
 from anvilhall.outbound import Call, Transfer
 from anvilhall.relayjobs import RelayJob, RelayServices
 
@@ -203,6 +204,7 @@
 
     def _handle_head(self, status: int, headers: HTTPHeaders) -> None:
         answer = self._services.dialect.read_answer(headers)
+        self._note_limit(answer.requests_per_s)
         self._problem = self._check_request_id(status, answer.request_id)
         if self._problem is None:
             self._problem = self._check_status(
@@ -215,6 +217,18 @@
             return
         self._response_head = (status, headers)
 
+    def _note_limit(self, requests_per_s: float) -> None:
+        runner = self.grant.runner
+        if self._services.broker.limits.note(runner, requests_per_s):
+            self._services.metrics.limit_changes.labels(self.grant.pool).inc()
+            log_event(
+                'runner_limited',
+                pool=self.grant.pool,
+                runner=runner,
+                requests_per_s=requests_per_s,
+                request_id=self._job.request_id,
+            )
+
     def _check_request_id(
         self, status: int, request_id: str
     ) -> AnvilhallError | None:
--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from anvilhall.clock import Clock
+from anvilhall.core.advertised import AdvertisedLimits
 from anvilhall.core.directory import Directory
 from anvilhall.core.fallback import Fallback, OwnerTimeouts
 from anvilhall.core.losses import RecentLosses
@@ -149,6 +150,7 @@
         '_prompts',
         '_running',
         '_send',
+        'limits',
         'on_wait',
         'owner',
         'quarantine',
@@ -176,6 +178,8 @@
         self._running: dict[str, _Running] = {}
         self._prompts = RecentPrompts()
         self._losses = RecentLosses()
+        #: Limits that runners have advertised to this instance.
+        self.limits = AdvertisedLimits()
         #: Prompts that are refused, whoever owns the shards.
         self.quarantine = Quarantine()
         #: Called when a new request was not answered at once.
--- a/src/anvilhall/dialect.py
+++ b/src/anvilhall/dialect.py
@@ -1,5 +1,6 @@
 """Interface between the relay and the platform's HTTP headers."""
 
+import math
 from typing import Protocol
 
 import msgspec
@@ -46,6 +47,9 @@
     #: Whether the answer has the runner's seal header; its value is not
     #: verified.
     sealed: bool
+    #: Requests per second that the runner takes from all instances together;
+    #: infinite if it names no limit.
+    requests_per_s: float = math.inf
 
 
 class Dialect(Protocol):
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -26,6 +26,7 @@
         'internal_errors',
         'grants',
         'link_messages',
+        'limit_changes',
         'links_opened',
         'log_lines_dropped',
         'grant_wait',
@@ -92,6 +93,11 @@
             'direction',
             'kind',
         )
+        self.limit_changes = self._add_counter(
+            'limit_changes',
+            'Changes of the limits that runners advertise.',
+            'pool',
+        )
         self.links_opened = self._add_counter(
             'links_opened',
             'Links between instances that came up.',
--- a/src/anvilhall/platform/headers.py
+++ b/src/anvilhall/platform/headers.py
@@ -1,9 +1,12 @@
 """HTTP headers of relayed requests and of the responses of runners."""
 
+import math
+
 from tornado.httputil import HTTPHeaders
 
 from anvilhall.dialect import AnswerHead, CallHead, RequestHead
 from anvilhall.exceptions import MalformedRequest
+from anvilhall.logs import log_event
 
 _REQUEST_ID = 'Anvilhall-Request-Id'
 #: Remaining milliseconds for which the sender waits for the response.
@@ -22,6 +25,8 @@
 _LAST_EVENT_ID = 'Last-Event-Id'
 _KEEP_ALIVE = 'Keep-Alive'
 _SEAL = 'Anvilhall-Server-Seal'
+#: Requests per second that a runner in need takes from all instances together.
+_RATE = 'Server-Limit'
 _MS_PER_S = 1000.0
 
 #: Headers that are never forwarded: hop-by-hop headers, and those that depend
@@ -111,6 +116,7 @@
             request_id=headers.get(_REQUEST_ID, ''),
             not_run=_NOT_RUN in headers,
             sealed=_SEAL in headers,
+            requests_per_s=_read_rate(headers.get(_RATE)),
         )
 
     def filter_response_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
@@ -133,6 +139,19 @@
     return dropped
 
 
+def _read_rate(text: str | None) -> float:
+    if text is None:
+        return math.inf
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0:
+        return rate
+    log_event('header_unusable', header=_RATE, content=text)
+    return math.inf
+
+
 def _read_number(headers: HTTPHeaders, name: str) -> float | None:
     text = headers.get(name)
     if text is None:
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -27,8 +27,10 @@
 ``unframed-stream-cut-N``: the same, but close after N bytes of the events.
 ``drip``: stream one event and then, byte by byte, one that never ends.
 
-A runner with ``deadly_parts`` crashes when it begins to answer a request whose
-prompt has one of them: all connections are reset, and it is away for a while.
+A runner whose traits have ``requests_per_s`` names that limit in its answers.
+One whose traits have ``deadly_parts`` crashes when it begins to answer a
+request whose prompt has one of them: all connections are reset, and it is away
+for a while.
 """
 
 import asyncio
@@ -43,6 +45,7 @@
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
 _PARTS = 'Anvilhall-Prefix-Hash'
+_RATE = 'Server-Limit'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
 #: Bytes sent before a response is cut, as a share of the size of its head.
 _CUT_SHARES = {'cut-head': 0.5, 'cut-after-head': 1.0, 'cut-body': 1.05}
@@ -84,6 +87,19 @@
         return frozenset(entry.partition(':')[0] for entry in entries)
 
 
+class Traits:
+    """Lasting properties of a runner."""
+
+    __slots__ = ('deadly_parts', 'requests_per_s')
+
+    def __init__(self) -> None:
+        """Start without limits and faults."""
+        #: Prompt parts that crash the runner.
+        self.deadly_parts: frozenset[str] = frozenset()
+        #: Content of the header that names its limit; empty: no header.
+        self.requests_per_s = ''
+
+
 class StandInRunner:
     """One runner on the loopback interface."""
 
@@ -112,8 +128,7 @@
         #: Minimum size in bytes of a plain response's body (padded).
         self.body_bytes = 0
         self.address = ''
-        #: Prompt parts that crash the runner.
-        self.deadly_parts: frozenset[str] = frozenset()
+        self.traits = Traits()
         self._restart: asyncio.Task[None] | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         #: Rest of a copy to be sent before the next response, by connection.
@@ -218,7 +233,7 @@
         if behaviour == 'reset':
             writer.transport.abort()
             return False
-        if request.parts & self.deadly_parts:
+        if request.parts & self.traits.deadly_parts:
             await self._send_part(1.0, request, writer)
             self.crash()
             return False
@@ -434,11 +449,17 @@
         ]
         if not extra and status != 421:
             lines.append(f'{_SEAL}: {self.name}.{request.request_id}')
+        if self.traits.requests_per_s:
+            lines.append(f'{_RATE}: {self.traits.requests_per_s}')
         lines.extend(f'{name}: {text}' for name, text in extra)
         head = '\r\n'.join(lines).encode()
         body = b'' if request.method == 'HEAD' else body
         return head + _HEAD_END + body
 
+    def _build_rate_line(self) -> str:
+        rate = self.traits.requests_per_s
+        return f'{_RATE}: {rate}\r\n' if rate else ''
+
     async def _stream(
         self,
         request: ReceivedRequest,
@@ -448,7 +469,7 @@
             f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
             f'{_SEAL}: {self.name}.{request.request_id}\r\n'
             'Content-Type: text/event-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
+            f'{self._build_rate_line()}Transfer-Encoding: chunked\r\n\r\n'
         )
         writer.write(head.encode())
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -34,7 +34,7 @@
 def set_deadly_part(site, part):
     """Have a part crash every engine that begins to answer it."""
     for runner in site.runners.values():
-        runner.deadly_parts = frozenset((part,))
+        runner.traits.deadly_parts = frozenset((part,))
 
 
 def count_sent(site, part):
