Keep to the limits that runners advertise

Cause: a limit advertised by an upstream was not read. Placement went by slots, caches and speed. Evidence: runner_limited: nine instances read the limits within half a second, and the requests went on for 19 s. Change: answers carry the limit with progress and release to the owner, which spaces a runner's grants by it, at most 0.5 s ahead. An instance that decides alone uses its share. A new owner gets the limits that the instances know. A limit holds until an answer names another or none; a runner that takes nothing is asked once in 10 s. Ruled out: a limit on each instance (the sum exceeds it, or shares stay unused); a token bucket that starts full (2 s of requests at once, and nine instances that decide alone start with one each).

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -20,7 +20,7 @@
     UpstreamReplaced,
     UpstreamStalled,
 )
-from anvilhall.logs import log_event
+from anvilhall.grants import note_limit
 from anvilhall.outbound import Call, Transfer
 from anvilhall.relayjobs import RelayJob, RelayServices
 
@@ -93,6 +93,7 @@
         '_last_progress_at',
         '_listener',
         '_problem',
+        '_requests_per_s',
         '_response_head',
         '_services',
         '_timer',
@@ -129,6 +130,8 @@
         self._buffer: list[bytes] = []
         self._buffer_size = 0
         self._response_head: tuple[int, HTTPHeaders] | None = None
+        #: Limit that the answer names; ``None``: no answer.
+        self._requests_per_s: float | None = None
         self._border = EventBorder()
         #: Whether chunks are forwarded at once instead of buffered.
         self._forwarding = False
@@ -177,6 +180,7 @@
                 served=self.served,
                 failure=self.failure,
                 first_token_s=self.first_token_s,
+                requests_per_s=self._requests_per_s,
             ),
         )
 
@@ -204,7 +208,14 @@
 
     def _handle_head(self, status: int, headers: HTTPHeaders) -> None:
         answer = self._services.dialect.read_answer(headers)
-        self._note_limit(answer.requests_per_s)
+        self._requests_per_s = answer.requests_per_s
+        services = self._services
+        note_limit(
+            services.broker,
+            services.metrics,
+            self.grant,
+            answer.requests_per_s,
+        )
         self._problem = self._check_request_id(status, answer.request_id)
         if self._problem is None:
             self._problem = self._check_status(
@@ -217,18 +228,6 @@
             return
         self._response_head = (status, headers)
 
-    def _note_limit(self, requests_per_s: float) -> None:
-        runner = self.grant.runner
-        if self._services.broker.limits.note(runner, requests_per_s):
-            self._services.metrics.limit_changes.labels(self.grant.pool).inc()
-            log_event(
-                'runner_limited',
-                pool=self.grant.pool,
-                runner=runner,
-                requests_per_s=requests_per_s,
-                request_id=self._job.request_id,
-            )
-
     def _check_request_id(
         self, status: int, request_id: str
     ) -> AnvilhallError | None:
@@ -342,6 +341,7 @@
                 first_token_s=self.first_token_s,
                 tokens=1,
                 gap_s=0.0,
+                requests_per_s=self._requests_per_s,
             ),
         )
 
--- a/src/anvilhall/core/advertised.py
+++ b/src/anvilhall/core/advertised.py
@@ -3,10 +3,53 @@
 import collections
 import math
 
+#: Seconds by which requests may come earlier than evenly spaced ones.
+_BURST_S = 0.5
+#: Least requests per second to a runner, so that its answers tell when it takes
+#: more.
+_MIN_RATE_PER_S = 0.1
 #: Limit on the runners that are kept; the longest unchanged are dropped.
 _MAX_RUNNERS = 4096
 
 
+class AdvertisedRate:
+    """Spaces the requests to one runner by the limit that it advertises."""
+
+    __slots__ = ('_interval_s', '_next_at')
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        #: Seconds between two requests; 0: no limit.
+        self._interval_s = 0.0
+        #: Monotonic time at which the next request is due.
+        self._next_at = 0.0
+
+    def set(self, requests_per_s: float, share: float, now: float) -> None:
+        """Apply a limit.
+
+        :param requests_per_s: infinite if there is none.
+        :param share: part of it to use, in (0, 1]. Instances that grant without
+            knowing of each other divide the limit.
+        :param now: monotonic seconds.
+        """
+        rate = max(requests_per_s, _MIN_RATE_PER_S) * share
+        if math.isinf(rate):
+            self._interval_s = 0.0
+            return
+        if not self._interval_s:
+            # The others have their first requests at about the same time.
+            self._next_at = now + (1 - share) / rate
+        self._interval_s = 1 / rate
+
+    def may_take(self, now: float) -> bool:
+        """Return whether the runner may get a request now."""
+        return not self._interval_s or now >= self._next_at - _BURST_S
+
+    def take(self, now: float) -> None:
+        """Count a request to the runner."""
+        self._next_at = max(self._next_at, now) + self._interval_s
+
+
 class AdvertisedLimits:
     """Requests per second that each runner takes, as it last said."""
 
@@ -35,3 +78,7 @@
         if len(self._by_runner) > _MAX_RUNNERS:
             self._by_runner.popitem(last=False)
         return True
+
+    def list_limits(self) -> tuple[tuple[str, float], ...]:
+        """Return the runners that have a limit, with it."""
+        return tuple(self._by_runner.items())
--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -294,7 +294,13 @@
             if read.runner in runners
         )
         losses = self._losses.list_losses(pool, self._clock.monotonic())
-        return Inventory(pool=pool, held=held, reads=reads, losses=losses)
+        return Inventory(
+            pool=pool,
+            held=held,
+            reads=reads,
+            losses=losses,
+            limits=self.limits.list_limits(),
+        )
 
     def handle_link_up(self, instance: str) -> None:
         """Report the inventory of each shard that a reconnected instance owns.
@@ -375,7 +381,7 @@
         share = 1.0 / max(1, len(self._directory.live))
         pending.target = _FALLBACK
         pending.queued = False
-        self._fallback.ask(pending.ask, share)
+        self._fallback.ask(pending.ask, share, self.limits.list_limits())
 
     def _spill(self, pending: _Pending) -> bool:
         """Send the request to the next reachable owner in another region.
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -57,13 +57,17 @@
             may_probe=False,
         )
 
-    def ask(self, ask: Ask, share: float) -> None:
+    def ask(
+        self, ask: Ask, share: float, limits: tuple[tuple[str, float], ...]
+    ) -> None:
         """Grant, queue or refuse a request.
 
-        :param share: share of the runners' slots that may be used.
+        :param share: share of the runners' slots and limits that may be used.
+        :param limits: limits that runners have advertised to this instance.
         """
         self.owner.take_over(ask.pool, (), share)
         self.owner.set_share(ask.pool, share)
+        self.owner.adopt_limits(limits)
         self.owner.handle(self._name, ask)
 
     def report(self, message: Progress | Release) -> None:
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -96,6 +96,9 @@
     tokens: int
     #: Longest gap between tokens since the last report, in seconds.
     gap_s: float
+    #: Limit that the runner's answer names; infinite if it names none, ``None``
+    #: if there is no answer yet.
+    requests_per_s: float | None = None
 
 
 class Release(_Message, frozen=True):
@@ -109,6 +112,8 @@
     failure: str = ''
     first_token_s: float = 0.0
     tokens: int = 0
+    #: As in :class:`Progress`.
+    requests_per_s: float | None = None
 
 
 class Held(_Message, frozen=True):
@@ -145,6 +150,8 @@
     reads: tuple[Read, ...] = ()
     #: Recent requests of the instance that were cut by crashes.
     losses: tuple[Loss, ...] = ()
+    #: Limits that runners have advertised to the instance, by runner.
+    limits: tuple[tuple[str, float], ...] = ()
 
 
 class Challenge(_Message, frozen=True):
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -201,6 +201,12 @@
         elif isinstance(message, Ask):
             self._confirm_queued(owned, sender, message.request_id)
 
+    def adopt_limits(self, limits: Iterable[tuple[str, float]]) -> None:
+        """Apply limits that runners have advertised to this instance."""
+        now = self._clock.monotonic()
+        for owned in self._owned.values():
+            owned.shard.roster.adopt_limits(limits, now)
+
     def drop_sender(self, sender: str) -> None:
         """Release all requests of an instance that left or failed."""
         for owned in self._owned.values():
@@ -278,6 +284,7 @@
     for read in inventory.reads:
         shard.adopt_read(read)
     shard.screening.adopt_losses(inventory.losses, now)
+    shard.roster.adopt_limits(inventory.limits, now)
 
 
 class OwnedSummary(msgspec.Struct, frozen=True):
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -101,6 +101,27 @@
         self._rank_runners()
         return lost
 
+    def note_limit(
+        self, runner: str, requests_per_s: float | None, now: float
+    ) -> None:
+        """Apply the limit that a runner has advertised.
+
+        :param requests_per_s: infinite if it names none; ``None``: unknown.
+        """
+        known = self.runners.get(runner)
+        if known and requests_per_s is not None:
+            known.advertised_rate.set(requests_per_s, self.share, now)
+
+    def adopt_limits(
+        self, limits: Iterable[tuple[str, float]], now: float
+    ) -> None:
+        """Apply limits that runners have advertised to an instance.
+
+        :param limits: runners with their requests per second.
+        """
+        for runner, requests_per_s in limits:
+            self.note_limit(runner, requests_per_s, now)
+
     def find_assignment(
         self, request_id: str
     ) -> tuple[Runner, Assignment] | None:
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from anvilhall.core.advertised import AdvertisedRate
 from anvilhall.core.health import Calibration, Health
 from anvilhall.core.limits import DecayingSum
 from anvilhall.core.messages import Ask
@@ -123,6 +124,7 @@
         '_reserved_tokens',
         '_stream_counts',
         'address',
+        'advertised_rate',
         'advertised_slots',
         'assignments',
         'born',
@@ -154,6 +156,8 @@
         #: Requests that the runner serves at once, as the registry states; 0:
         #: the pool's setting applies.
         self.advertised_slots = 0
+        #: Limit on its requests, as its answers state.
+        self.advertised_rate = AdvertisedRate()
         #: Tokens of each prompt part assumed to be cached, least recently used
         #: part first.
         self._cached_parts: collections.OrderedDict[str, int] = (
@@ -209,7 +213,8 @@
             gets only probes.
         """
         health = self.health
-        if self.leaving or health.is_full(now):
+        is_full = health.is_full(now) or not self.advertised_rate.may_take(now)
+        if self.leaving or is_full:
             return False
         suspect = self.suspect and (health.unavailable or not allow_degraded)
         if suspect and not health.may_probe(now):
@@ -260,6 +265,7 @@
         if self._policy.calibrate:
             cached = self.count_cached_tokens(ask)
             assignment.uncached_tokens = ask.prompt_tokens - cached
+        self.advertised_rate.take(now)
         self._recent_prefill_tokens.add(assignment.uncached_tokens, now)
         self._charge_late_gaps(assignment, now)
         self.adopt_assignment(assignment)
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -70,11 +70,11 @@
         '_pool_name',
         '_queue',
         '_reprefilled_tokens',
-        '_roster',
         '_senders',
         '_expired_at',
         '_tree',
         'paused',
+        'roster',
         'screening',
     )
 
@@ -112,13 +112,14 @@
         #: pauses.
         self._granted_tokens = 0
         self._reprefilled_tokens = 0
-        self._roster = Roster(self._policy, tree.pools[pool_name], salt)
+        #: Runners of the shard.
+        self.roster = Roster(self._policy, tree.pools[pool_name], salt)
         self.set_tree(tree)
 
     @property
     def runners(self) -> dict[str, Runner]:
         """Runners by name."""
-        return self._roster.runners
+        return self.roster.runners
 
     @property
     def waiting_count(self) -> int:
@@ -128,25 +129,25 @@
     @property
     def running_count(self) -> int:
         """Number of requests on runners."""
-        return self._roster.running_count
+        return self.roster.running_count
 
     def set_share(self, share: float) -> None:
         """Limit this shard to a share of each runner's slots, in (0, 1]."""
-        self._roster.share = share
+        self.roster.share = share
 
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings."""
         self._tree = tree
         self._pool: Pool = tree.pools[self._pool_name]
         self._admission.set_tree(tree)
-        self._roster.set_pool(self._pool)
+        self.roster.set_pool(self._pool)
 
     def set_runners(self, endpoints: Iterable[RunnerEndpoint]) -> None:
         """Replace the pool's runners by those that the registry lists.
 
         Requests on a runner that has restarted no longer count as running.
         """
-        for lost in self._roster.set_endpoints(endpoints):
+        for lost in self.roster.set_endpoints(endpoints):
             self._release_request(
                 lost.request_id, lost.account, lost.class_name
             )
@@ -206,7 +207,7 @@
         """Return whether a request is in the queue."""
         return (
             request_id in self._senders
-            and self._roster.find_assignment(request_id) is None
+            and self.roster.find_assignment(request_id) is None
         )
 
     def withdraw(self, request_id: str) -> bool:
@@ -218,11 +219,12 @@
 
     def note_progress(self, progress: Progress, now: float) -> None:
         """Update a running request's output and its runner's latencies."""
-        found = self._roster.find_assignment(progress.request_id)
+        found = self.roster.find_assignment(progress.request_id)
         if found is None:
             return
         runner, assignment = found
         assignment.tokens = progress.tokens
+        self.roster.note_limit(runner.name, progress.requests_per_s, now)
         runner.note_progress(now)
         assignment.long = (
             assignment.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
@@ -230,7 +232,7 @@
         if progress.first_token_s:
             self.screening.note_first_token(progress.request_id, now)
             runner.note_first_token(assignment, progress.first_token_s)
-            self._roster.calibrate()
+            self.roster.calibrate()
         runner.note_gap(progress.gap_s, now)
 
     def release(self, release: Release, now: float) -> None:
@@ -240,13 +242,13 @@
         lengths.
         """
         self.withdraw(release.request_id)
-        found = self._roster.find_assignment(release.request_id)
+        found = self.roster.find_assignment(release.request_id)
         if found is None:
             return
         runner, assignment = found
         if release.first_token_s:
             runner.note_first_token(assignment, release.first_token_s)
-            self._roster.calibrate()
+            self.roster.calibrate()
         if release.failure:
             runner.note_failure(release.failure, now)
         elif release.served:
@@ -257,12 +259,13 @@
                 assignment.account,
                 release.tokens,
             )
+        self.roster.note_limit(runner.name, release.requests_per_s, now)
         self.screening.note_release(release, runner.start_name, now)
         runner.remove_assignment(release.request_id)
         self._release_request(
             assignment.request_id, assignment.account, assignment.class_name
         )
-        self._roster.remove_if_drained(runner)
+        self.roster.remove_if_drained(runner)
 
     def adopt(self, sender: str, held: Held, now: float) -> None:
         """Count a running request that a previous owner granted.
@@ -319,7 +322,7 @@
         A running one gets its grant again; a waiting one stays in the queue.
         """
         self._senders[ask.request_id] = sender
-        found = self._roster.find_assignment(ask.request_id)
+        found = self.roster.find_assignment(ask.request_id)
         if found is None:
             return []
         runner, assignment = found
@@ -339,7 +342,7 @@
         if settings is None:
             raise UnknownClass(f'no class named {ask.class_name!r}')
         settings = _apply_account_tier(settings, ask.tier)
-        if not self._roster.has_available():
+        if not self.roster.has_available():
             raise NoRunner(
                 f'pool {self._pool_name!r} has no runner that accepts requests',
                 1.0,
@@ -381,7 +384,7 @@
             queued = queue.peek()
             assignment = _build_assignment(queued)
             reserved = self._count_reserved_slots(assignment.tier, wall)
-            runner = self._roster.choose_runner(
+            runner = self.roster.choose_runner(
                 queued.ask, assignment, reserved, now
             )
             if runner:
@@ -394,7 +397,7 @@
         waited_s = now - queued.arrived_at
         reason = (
             f'no runner after {waited_s:.2f} s; {self.running_count} of '
-            f'{self._roster.slots} slots taken, {len(self._queue)} waiting'
+            f'{self.roster.slots} slots taken, {len(self._queue)} waiting'
         )
         if now >= queued.deadline_at:
             return DeadlinePassed(reason)
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -5,9 +5,29 @@
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, Release
 from anvilhall.exceptions import RequestRefused
+from anvilhall.logs import log_event
+from anvilhall.metrics import Metrics
 from anvilhall.outbound import Transfer
 
 
+def note_limit(
+    broker: Broker, metrics: Metrics, grant: Grant, requests_per_s: float
+) -> None:
+    """Note the limit that the answer of a grant's runner names.
+
+    :param requests_per_s: infinite if it names none.
+    """
+    if broker.limits.note(grant.runner, requests_per_s):
+        metrics.limit_changes.labels(grant.pool).inc()
+        log_event(
+            'runner_limited',
+            pool=grant.pool,
+            runner=grant.runner,
+            requests_per_s=requests_per_s,
+            request_id=grant.request_id,
+        )
+
+
 class PendingGrant:
     """Receives the broker's answers to one ask as a future."""
 
--- a/tests/test_advertised.py
+++ b/tests/test_advertised.py
@@ -5,7 +5,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
-from anvilhall.core.advertised import AdvertisedLimits
+from anvilhall.core.advertised import AdvertisedLimits, AdvertisedRate
 from anvilhall.platform.headers import PlatformHeaders
 
 
@@ -53,3 +53,70 @@
 def test_answer_without_the_header_names_no_limit():
     answer = PlatformHeaders().read_answer(HTTPHeaders())
     assert math.isinf(answer.requests_per_s)
+
+
+def count_taken(rate, start, end, step=0.01):
+    """Take as many requests as allowed; return their times."""
+    times = []
+    for tick in range(int((end - start) / step)):
+        now = start + tick * step
+        while rate.may_take(now):
+            rate.take(now)
+            times.append(now)
+            assert len(times) < 10_000
+    return times
+
+
+@pytest.mark.parametrize('requests_per_s', [0.4, 1.1, 1.9, 7.6, 50.0])
+def test_requests_in_any_span_stay_within_the_limit(requests_per_s):
+    rate = AdvertisedRate()
+    rate.set(requests_per_s, 1.0, 100.0)
+    times = count_taken(rate, 100.0, 120.0)
+    most = max(
+        sum(first <= other < first + 4.0 for other in times) for first in times
+    )
+    assert most <= 1.5 * 4.0 * requests_per_s + 5
+    # And the limit is used.
+    assert len(times) >= int(requests_per_s * 20 * 0.95)
+
+
+def test_shares_of_several_instances_stay_within_the_limit_together():
+    times = []
+    for _ in range(9):
+        rate = AdvertisedRate()
+        rate.set(1.9, 1 / 9, 100.0)
+        times += count_taken(rate, 100.0, 120.0)
+    most = max(
+        sum(first <= other < first + 4.0 for other in times) for first in times
+    )
+    assert most <= 1.5 * 4.0 * 1.9 + 5
+
+
+def test_new_limit_applies_from_then_on():
+    rate = AdvertisedRate()
+    rate.set(10.0, 1.0, 100.0)
+    count_taken(rate, 100.0, 101.0)
+    rate.set(1.0, 1.0, 101.0)
+    assert len(count_taken(rate, 101.0, 106.0)) <= 6
+    rate.set(math.inf, 1.0, 106.0)
+    for _ in range(100):
+        assert rate.may_take(106.0)
+        rate.take(106.0)
+
+
+def test_runner_that_takes_nothing_is_asked_now_and_then():
+    rate = AdvertisedRate()
+    rate.set(0.0, 1.0, 100.0)
+    assert 1 <= len(count_taken(rate, 100.0, 130.0)) <= 5
+
+
+def test_limit_that_is_repeated_does_not_free_requests():
+    rate = AdvertisedRate()
+    taken = 0
+    for tick in range(2000):
+        now = 100.0 + tick * 0.01
+        rate.set(2.0, 1.0, now)
+        if rate.may_take(now):
+            rate.take(now)
+            taken += 1
+    assert taken <= 42
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -1,6 +1,7 @@
 """Priorities, floor interval, shedding, fairness and limits of one shard."""
 
 import datetime as dt
+import math
 
 import pytest
 
@@ -223,3 +224,39 @@
     window = Window(start=dt.time(7, 30), end=dt.time(17))
     schedule = Schedule(timezone=zone, windows=(window,))
     assert is_active(schedule, dt.datetime.fromisoformat(utc)) is active
+
+
+def _count_grants(shard, seconds):
+    """Offer many requests; return how many a second's ticks grant in all."""
+    granted = 0
+    for tick in range(int(seconds * 20)):
+        now = 100.0 + tick * 0.05
+        shard.submit('e1', _ask(f'limit-{tick}'), now)
+        for action in shard.dispatch(now, WALL):
+            name = action.message.request_id
+            if isinstance(action.message, Grant):
+                granted += 1
+                shard.release(Release('chat', name, served=True), now)
+            else:
+                shard.withdraw(name)
+    return granted
+
+
+# Guards against a new owner that does not know the limits of its runners.
+def test_limits_that_instances_report_apply_at_a_new_owner(root_json):
+    shard = _build_shard(root_json, slots=16)
+    shard.roster.adopt_limits([('r0', 2.0), ('unknown', 1.0)], 100.0)
+    assert 8 <= _count_grants(shard, 5) <= 12
+
+
+def test_limit_of_an_answer_applies_and_is_lifted(root_json):
+    shard = _build_shard(root_json, slots=16)
+    shard.submit('e1', _ask('first'), 99.0)
+    shard.dispatch(99.0, WALL)
+    named = Release('chat', 'first', served=True, requests_per_s=2.0)
+    shard.release(named, 99.1)
+    assert _count_grants(shard, 5) <= 12
+    shard.roster.note_limit('r0', None, 105.0)
+    assert _count_grants(shard, 5) <= 12
+    shard.roster.note_limit('r0', math.inf, 105.0)
+    assert _count_grants(shard, 5) >= 100
