Read the rate limit policy of our own upstreams

What callers saw: as with runners of the platform; our own engines and services had no way to name a limit. Cause: the wires of our own interface read no header for it. Change: RateLimit-Policy (the IETF draft on rate limit fields, q requests in w seconds, the least policy counts) is read from each answer and goes the same way as a runner's limit.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -32,12 +32,12 @@
     UpstreamRefused,
     UpstreamStalled,
 )
-from anvilhall.grants import PendingGrant
+from anvilhall.grants import PendingGrant, note_limit
 from anvilhall.jobs import Job
 from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Outbound, Reply, Transfer
-from anvilhall.upstreams import WIRES, Wire
+from anvilhall.upstreams import WIRES, Wire, read_limit
 
 #: HTTP statuses by which an upstream states that it did not start the request.
 _REFUSAL_STATUSES = frozenset((429, 503))
@@ -298,6 +298,7 @@
         '_longest_gap_s',
         '_reader',
         '_reported_at',
+        '_requests_per_s',
         '_services',
         'failure',
         'first_token_s',
@@ -320,6 +321,8 @@
         #: Longest gap between chunks since the last progress report.
         self._longest_gap_s = 0.0
         self._reader = EventReader()
+        #: Limit that the answer names; ``None``: no answer.
+        self._requests_per_s: float | None = None
 
     async def exchange(self, wire: Wire) -> Reply:
         """Return the whole response of a plain service."""
@@ -331,6 +334,7 @@
             raise self._detect_stall(error) from error
         finally:
             watchdog.cancel()
+        self._note_limit(reply.headers)
         self.first_token_s = self.measure_elapsed_s()
         if reply.status in _REFUSAL_STATUSES and self._job.retryable:
             raise UpstreamRefused(
@@ -362,8 +366,11 @@
 
         accepted = False
 
-        def on_head(status: int, _: HTTPHeaders) -> None:  # noqa: WPS430
+        def on_head(  # noqa: WPS430
+            status: int, headers: HTTPHeaders
+        ) -> None:
             nonlocal accepted  # noqa: WPS420
+            self._note_limit(headers)
             accepted = status == _HTTP_OK
 
         watchdog = self._start_watchdog()
@@ -396,9 +403,20 @@
                 failure=self.failure,
                 first_token_s=self.first_token_s,
                 tokens=self._reader.event_count,
+                requests_per_s=self._requests_per_s,
             ),
         )
 
+    def _note_limit(self, headers: HTTPHeaders) -> None:
+        services = self._services
+        self._requests_per_s = read_limit(headers)
+        note_limit(
+            services.broker,
+            services.metrics,
+            self.grant,
+            self._requests_per_s,
+        )
+
     def _process_chunk(self, chunk: bytes, forward: '_ForwardEvents') -> None:
         now = self._services.clock.monotonic()
         gap_s = now - self._last_chunk_at
@@ -429,6 +447,7 @@
                 first_token_s=self.first_token_s,
                 tokens=self._reader.event_count,
                 gap_s=self._longest_gap_s,
+                requests_per_s=self._requests_per_s,
             ),
         )
         self._longest_gap_s = 0.0
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -1,13 +1,17 @@
 """Wire formats of upstreams: build the HTTP calls that run a job."""
 
+import math
+import re
 from typing import Protocol
 
 import msgspec
+from tornado.httputil import HTTPHeaders
 
 from anvilhall.core.messages import Grant
 from anvilhall.events import Answer
 from anvilhall.exceptions import UnknownPath
 from anvilhall.jobs import Job
+from anvilhall.logs import log_event
 from anvilhall.outbound import Call
 from anvilhall.registry import Registry
 
@@ -16,6 +20,13 @@
 _FALSE = msgspec.Raw(b'false')
 
 
+#: Header of the IETF draft on rate limit fields, and a quota in it: ``q``
+#: requests in a window of ``w`` seconds.
+_POLICY = 'RateLimit-Policy'
+_QUOTA = re.compile(r'(?:^|;)\s*q=(\d+)\s*(?:;|$)')
+_WINDOW = re.compile(r'(?:^|;)\s*w=(\d+)\s*(?:;|$)')
+
+
 class Wire(Protocol):
     """Builds the HTTP calls of one wire format."""
 
@@ -107,6 +118,22 @@
 WIRES.register('plain-http')(_PlainHttp())
 
 
+def read_limit(headers: HTTPHeaders) -> float:
+    """Return the requests per second that an upstream takes from everyone.
+
+    :return: the least of its policies; infinite if it advertises none.
+    """
+    rates = [math.inf]
+    for policy in headers.get(_POLICY, '').split(','):
+        quota = _QUOTA.search(policy)
+        window = _WINDOW.search(policy)
+        if quota and window and int(window[1]):
+            rates.append(int(quota[1]) / int(window[1]))
+        elif policy:
+            log_event('header_unusable', header=_POLICY, content=policy)
+    return min(rates)
+
+
 def _build_headers(job: Job) -> dict[str, str]:
     headers = {'Content-Type': _JSON, 'X-Request-Id': job.request_id}
     if job.key:
--- a/src/anvilhall_standins/service.py
+++ b/src/anvilhall_standins/service.py
@@ -26,7 +26,7 @@
 class ServiceState:
     """Calls that took effect, and the faults of the service."""
 
-    __slots__ = ('faults', 'runs', 'work_s')
+    __slots__ = ('faults', 'policy', 'runs', 'work_s')
 
     def __init__(self, work_s: float) -> None:
         """Create a service without calls.
@@ -35,6 +35,8 @@
         """
         self.work_s = work_s
         self.faults = Faults()
+        #: Rate limit policy that answers state; empty: none.
+        self.policy = ''
         #: Idempotency key, or else request identifier, of each call that took
         #: effect, in order.
         self.runs: list[str] = []
@@ -70,6 +72,8 @@
         if state.faults.consume('lose_answer'):
             self.request.connection.detach().close()  # type: ignore[union-attr]
             return
+        if state.policy:
+            self.set_header('RateLimit-Policy', state.policy)
         write_json(self, {'path': path, 'number': number})
 
 
--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from tests.cluster import open_cluster
 from tests.site import run_site, wait_until
 
 #: Span of time in which requests are counted, in seconds.
@@ -85,3 +86,28 @@
             assert len(limited.runs) - before > 10
 
     asyncio.run(scenario())
+
+
+def test_service_of_the_own_interface_gets_no_more_than_its_policy(root):
+    async def scenario():
+        async with open_cluster(root, instances=2, services=2) as cluster:
+            limited = cluster.books['desk-0']
+            limited.policy = '"default";q=2;w=1'
+            headers = {'Anvilhall-Class': 'lookup'}
+            for turn in range(20):
+                entry = f'entry-{turn % 2}'
+                await cluster.call(entry, 'x', headers)
+            before = len(limited.runs)
+            started = time.monotonic()
+            sent = 0
+            while time.monotonic() - started < 3.0:
+                entry = f'entry-{sent % 2}'
+                reply = await cluster.call(entry, 'x', headers)
+                assert reply.status == 200
+                sent += 1
+                await asyncio.sleep(0.01)
+            assert sent > 60
+            allowed = FACTOR * 3.0 * 2.0 + SLACK
+            assert len(limited.runs) - before <= allowed
+
+    asyncio.run(scenario())
