Show quarantined prompts in the status; end suspicion after ten minutes

Change: the status of an instance lists the parts of each entry, and 'anvilhall status' prints them. A part is suspected for ten minutes after its last crash. Test: test_crashes_that_are_long_past_blame_nothing, failed before; the site tests read the status.

--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -475,6 +475,8 @@
             f'open {status.open_requests}, owns {owned}, '
             f'sees {", ".join(status.live)}',
         )
+        for parts in status.quarantined:
+            click.echo(f'  quarantined: prompts with {", ".join(parts)}')
 
 
 if __name__ == '__main__':
--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -32,6 +32,8 @@
 #: runners that are lost together crash at the same time.
 _CRASHES_ALONE = 5
 _CRASHES_ALONE_SPAN_S = 0.3
+#: Seconds after its last crash at which a part is no longer suspected.
+_SUSPICION_S = 600.0
 #: Limits on the parts and crashes that are kept.
 _MAX_SUSPECTS = 4096
 _MAX_SOUND = 8192
@@ -126,6 +128,7 @@
 
         :param now: monotonic seconds.
         """
+        self._forget_old(now - _SUSPICION_S)
         if loss.runner in self._explained:
             return
         for part in loss.parts:
@@ -183,6 +186,14 @@
         self._explain(crashes)
         return sorted(causes)
 
+    def _forget_old(self, oldest: float) -> None:
+        # Suspects are in the order of their last crashes.
+        while self._suspects:
+            suspect = next(iter(self._suspects.values()))
+            if suspect.last_at >= oldest:
+                return
+            self._suspects.popitem(last=False)
+
     def _is_ripe(self, part: str, suspect: _Suspect) -> bool:
         sound = part in self._sound
         crashes = len(suspect.crashes)
--- a/src/anvilhall/core/quarantine.py
+++ b/src/anvilhall/core/quarantine.py
@@ -78,6 +78,10 @@
         """All entries, withdrawn ones included."""
         return tuple(self._entries.values())
 
+    def list_parts(self) -> list[tuple[str, ...]]:
+        """Return the parts of each entry in force."""
+        return [entry.parts for entry in self._entries.values() if entry.parts]
+
     def find(self, parts: Iterable[str]) -> QuarantineEntry | None:
         """Return the entry that a prompt with these parts matches."""
         if not self._entries:
--- a/src/anvilhall/feeds/quarantine.py
+++ b/src/anvilhall/feeds/quarantine.py
@@ -30,7 +30,7 @@
     ) -> None:
         """Start with nothing to write."""
         super().__init__(
-            INSTANCES_TOPIC, store, clock, metrics, rng, _is_reader
+            INSTANCES_TOPIC, store, clock, metrics, rng, _has_no_reader
         )
         #: Newest version of each entry that is not stored yet.
         self._pending: dict[str, QuarantineEntry] = {}
@@ -61,6 +61,9 @@
             self._pending.pop(entry.key)
 
 
-def _is_reader() -> bool:
-    """Return that failed writes are retried without a growing delay."""
+def _has_no_reader() -> bool:
+    """Return that no other instance stands in for this one.
+
+    Failed writes are therefore retried without a growing delay.
+    """
     return True
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -19,7 +19,6 @@
     SettingsOffer,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
-from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
     RequestLimits,
@@ -202,12 +201,6 @@
         """Runners of all pools that the store lists."""
         return self._runners
 
-    @property
-    def quarantined(self) -> tuple[QuarantineEntry, ...]:
-        """Prompts that are refused because they have crashed runners."""
-        entries = self._fleet.broker.quarantine.entries
-        return tuple(entry for entry in entries if entry.parts)
-
     async def start(self) -> None:
         """Open the listening sockets and start the background tasks."""
         await self._fleet.listen()
@@ -286,6 +279,7 @@
             linked=sorted(self._fleet.linked),
             owned=summarise_shards(self._fleet.broker.owner),
             claims=0,
+            quarantined=self._fleet.broker.quarantine.list_parts(),
         )
 
     def _get_settings(self) -> RoutingSettings | None:
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -223,6 +223,7 @@
             linked=sorted(self._fleet.linked),
             owned=summarise_shards(self._fleet.broker.owner),
             claims=len(self._claims.ledger),
+            quarantined=self._fleet.broker.quarantine.list_parts(),
         )
 
     def _get_tree(self) -> Tree | None:
--- a/src/anvilhall/operators.py
+++ b/src/anvilhall/operators.py
@@ -36,6 +36,8 @@
     owned: list[OwnedSummary]
     #: Idempotency keys with a claim in the ledger.
     claims: int
+    #: Prompt parts that are refused together, as they have crashed runners.
+    quarantined: list[tuple[str, ...]] = []
 
 
 class Readiness(Protocol):
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -164,3 +164,10 @@
     assert not pool.crash(('first', 'doc-8'))
     pool.serve(15, 'other')
     assert pool.crash(('first', 'bad')) == [('bad',)]
+
+
+def test_crashes_that_are_long_past_blame_nothing(pool):
+    for turn in range(6):
+        assert not pool.crash(('first', f'doc-{turn}', 'rare'))
+        pool.serve(5, 'first', 'doc-1')
+        pool.now += 601
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -131,7 +131,7 @@
             site.gateways['g1'].close()
             gateway = await site.restart_gateway('g1')
             await wait_until(lambda: gateway.ready)
-            await wait_until(lambda: gateway.quarantined)
+            await wait_until(lambda: gateway.describe().quarantined)
             for turn in range(8):
                 deadly = ('first', 'doc', 'bad', f'own-{turn}')
                 status = await fetch(site, f'/brief/{turn}', deadly, fresh=True)
@@ -151,7 +151,7 @@
             for turn in range(9):
                 await fetch(site, f'/brief/{turn}', ('doc', 'bad', 'own'))
                 await asyncio.sleep(0.05)
-            assert site.gateways['g1'].quarantined
+            assert site.gateways['g1'].describe().quarantined
             site.store.faults.start(Fault('down', for_s=0))
             topic = site.store.topics['keyed.instances']
             await wait_until(
