--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -164,7 +164,9 @@
         Each result is a set of parts that crashes runners if a prompt has all
         of them. It is returned once, and its crashes count for no other part.
         """
-        self._repeated.intersection_update(self._suspects)
+        self._repeated = {
+            part for part in self._repeated if part in self._suspects
+        }
         ripe = {
             part: self._suspects[part]
             for part in sorted(self._repeated)
