Give the replay's baselines the limits that executions note

Cause: has each execution note the limit of an answer at its broker; the baselines of the replay stand in for the broker and had no such attribute, so each of their requests failed and two outcomes had nothing to compare with. Change: baselines have the attribute, and as before no admission. Measured: test_outcomes passes but for the known red.

--- a/src/anvilhall/replay/baselines.py
+++ b/src/anvilhall/replay/baselines.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from anvilhall.core.advertised import AdvertisedLimits
 from anvilhall.core.messages import Ask, Grant, Progress, Release
 from anvilhall.registry import Registry
 from anvilhall.replay.traces import TraceHeader
@@ -22,13 +23,15 @@
 class RoundRobin:
     """Chooses the runners of a pool in rotation."""
 
-    __slots__ = ('_fleet', '_lag_s', '_turn')
+    __slots__ = ('_fleet', '_lag_s', '_turn', 'limits')
 
     def __init__(self, fleet: 'SimFleet', header: TraceHeader) -> None:
         """Create the broker of one instance of a fleet."""
         self._fleet = fleet
         self._lag_s = header.report_lag_s
         self._turn = 0
+        #: Noted as by any broker; baselines do not keep to them.
+        self.limits = AdvertisedLimits()
 
     def ask(self, ask: Ask, handler: 'GrantHandler') -> None:
         """Grant the next runner of the pool."""
