Build heads and events of the stand-in for a runner in one place

Requests and properties have a module of their own now. The tests of relaying, faults, quarantine and limits pass.

--- /dev/null
+++ b/src/anvilhall_standins/platform/received.py
@@ -0,0 +1,56 @@
+"""Requests that the stand-in for a runner receives, and its properties."""
+
+from tornado.httputil import HTTPHeaders
+
+#: Header that identifies a request and its response.
+REQUEST_ID = 'Anvilhall-Request-Id'
+_PARTS = 'Anvilhall-Prefix-Hash'
+
+
+class ReceivedRequest:
+    """A request that the runner received."""
+
+    __slots__ = ('body', 'headers', 'method', 'target')
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        """Parse the request line and the headers."""
+        lines = head.decode('latin-1').split('\r\n')
+        request_line = lines[0].split(' ')
+        self.method = request_line[0]
+        self.target = request_line[1]
+        self.headers = HTTPHeaders.parse('\r\n'.join(lines[1:]))
+        self.body = body
+
+    @property
+    def request_id(self) -> str:
+        """Identifier that the gateway sent with the request."""
+        return self.headers.get(REQUEST_ID, '')
+
+    @property
+    def first_event(self) -> int:
+        """Number of the first event that the client has not received."""
+        return int(self.headers.get('Last-Event-Id', '0')) + 1
+
+    @property
+    def parts(self) -> frozenset[str]:
+        """Identifiers of the prompt's parts."""
+        entries = self.headers.get(_PARTS, '').split(',')
+        return frozenset(entry.partition(':')[0] for entry in entries)
+
+
+class Traits:
+    """Lasting properties of a runner."""
+
+    __slots__ = ('deadly_parts', 'requests_per_s')
+
+    def __init__(self) -> None:
+        """Start without limits and faults."""
+        #: Prompt parts that crash the runner.
+        self.deadly_parts: frozenset[str] = frozenset()
+        #: Content of the header that names its limit; empty: no header.
+        self.requests_per_s = ''
+
+
+def build_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b'id: %d\ndata: event %d\n\n' % (number, number)
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -37,15 +37,19 @@
 import collections
 import contextlib
 
-from tornado.httputil import HTTPHeaders
+from anvilhall_standins.platform.received import (
+    REQUEST_ID,
+    ReceivedRequest,
+    Traits,
+    build_event,
+)
 
 _HEAD_END = b'\r\n\r\n'
-_ID = 'Anvilhall-Request-Id'
 _SEAL = 'Anvilhall-Server-Seal'
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
-_PARTS = 'Anvilhall-Prefix-Hash'
 _RATE = 'Server-Limit'
+_STREAM_LINE = 'Content-Type: text/event-stream'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
 #: Bytes sent before a response is cut, as a share of the size of its head.
 _CUT_SHARES = {'cut-head': 0.5, 'cut-after-head': 1.0, 'cut-body': 1.05}
@@ -61,45 +65,6 @@
 _COPY_DELAY_S = 0.002
 
 
-class ReceivedRequest:
-    """A request that the runner received."""
-
-    __slots__ = ('body', 'headers', 'method', 'target')
-
-    def __init__(self, head: bytes, body: bytes) -> None:
-        """Parse the request line and the headers."""
-        lines = head.decode('latin-1').split('\r\n')
-        request_line = lines[0].split(' ')
-        self.method = request_line[0]
-        self.target = request_line[1]
-        self.headers = HTTPHeaders.parse('\r\n'.join(lines[1:]))
-        self.body = body
-
-    @property
-    def request_id(self) -> str:
-        """Identifier that the gateway sent with the request."""
-        return self.headers.get(_ID, '')
-
-    @property
-    def parts(self) -> frozenset[str]:
-        """Identifiers of the prompt's parts."""
-        entries = self.headers.get(_PARTS, '').split(',')
-        return frozenset(entry.partition(':')[0] for entry in entries)
-
-
-class Traits:
-    """Lasting properties of a runner."""
-
-    __slots__ = ('deadly_parts', 'requests_per_s')
-
-    def __init__(self) -> None:
-        """Start without limits and faults."""
-        #: Prompt parts that crash the runner.
-        self.deadly_parts: frozenset[str] = frozenset()
-        #: Content of the header that names its limit; empty: no header.
-        self.requests_per_s = ''
-
-
 class StandInRunner:
     """One runner on the loopback interface."""
 
@@ -329,11 +294,7 @@
         if behaviour == 'short':
             self._respond(writer, request, 200, b'short', missing=9)
         else:
-            head = (
-                f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
-                f'{_SEAL}: {self.name}.{request.request_id}\r\n\r\n'
-            )
-            writer.write(head.encode())
+            writer.write(self._build_head(request))
             writer.write(b'unframed')
         await writer.drain()
 
@@ -343,20 +304,12 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        head = (
-            f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
-            f'{_SEAL}: {self.name}.{request.request_id}\r\n'
-            'Content-Type: text/event-stream\r\n\r\n'
-        )
-        first = int(request.headers.get('Last-Event-Id', '0')) + 1
-        events = b''.join(
-            b'id: %d\ndata: event %d\n\n' % (number, number)
-            for number in range(first, self.events + 1)
-        )
+        numbers = range(request.first_event, self.events + 1)
+        events = b''.join(map(build_event, numbers))
         _, cut, size = behaviour.partition('-cut-')
         if cut:
             events = events[: int(size)]
-        writer.write(head.encode() + events)
+        writer.write(self._build_head(request, _STREAM_LINE) + events)
         await writer.drain()
 
     async def _send_without_end(
@@ -365,15 +318,16 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        status_and_id = f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
+        status_and_id = (
+            f'HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request.request_id}\r\n'
+        )
         head = status_and_id
         piece = b'X-Filler: %s\r\n' % bytes(1000).replace(b'\0', b'x')
         if behaviour == 'endless-info':
             head = ''
             piece = b'HTTP/1.1 102 Processing\r\n\r\n'
         elif behaviour == 'endless-body':
-            seal = f'{self.name}.{request.request_id}'
-            head = f'{status_and_id}{_SEAL}: {seal}\r\n\r\n'
+            head = self._build_head(request).decode()
         writer.write(head.encode())
         while True:
             writer.write(piece)
@@ -386,13 +340,10 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        head = (
-            f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
-            f'{_SEAL}: {self.name}.{request.request_id}\r\n'
-            'Content-Type: text/event-stream\r\n\r\n'
-            f'id: 1\ndata: event 1\n\ndata: '
-        )
-        writer.write(head.encode())
+        head = self._build_head(request, _STREAM_LINE)
+        writer.write(head)
+        writer.write(build_event(1))
+        writer.write(b'data: ')
         while True:
             await writer.drain()
             await asyncio.sleep(_DRIP_S)
@@ -443,7 +394,7 @@
     ) -> bytes:
         lines = [
             f'HTTP/1.1 {status} Status',
-            f'{_ID}: {request_id or request.request_id}',
+            f'{REQUEST_ID}: {request_id or request.request_id}',
             f'Content-Length: {len(body) + missing}',
             'Keep-Alive: timeout=5',
         ]
@@ -456,25 +407,31 @@
         body = b'' if request.method == 'HEAD' else body
         return head + _HEAD_END + body
 
-    def _build_rate_line(self) -> str:
-        rate = self.traits.requests_per_s
-        return f'{_RATE}: {rate}\r\n' if rate else ''
+    def _build_head(self, request: ReceivedRequest, *lines: str) -> bytes:
+        """Return the head of a successful response without a length.
+
+        :param lines: further header lines.
+        """
+        all_lines = [
+            'HTTP/1.1 200 OK',
+            f'{REQUEST_ID}: {request.request_id}',
+            f'{_SEAL}: {self.name}.{request.request_id}',
+            *lines,
+        ]
+        if self.traits.requests_per_s:
+            all_lines.append(f'{_RATE}: {self.traits.requests_per_s}')
+        return '\r\n'.join(all_lines).encode() + _HEAD_END
 
     async def _stream(
         self,
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        head = (
-            f'HTTP/1.1 200 OK\r\n{_ID}: {request.request_id}\r\n'
-            f'{_SEAL}: {self.name}.{request.request_id}\r\n'
-            'Content-Type: text/event-stream\r\n'
-            f'{self._build_rate_line()}Transfer-Encoding: chunked\r\n\r\n'
-        )
-        writer.write(head.encode())
-        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        chunked = 'Transfer-Encoding: chunked'
+        writer.write(self._build_head(request, _STREAM_LINE, chunked))
+        first = request.first_event
         for number in range(first, self.events + 1):
-            event = f'id: {number}\ndata: event {number}\n\n'.encode()
+            event = build_event(number)
             if first <= self.cut_after < number:
                 self.cut_after = 0
                 writer.write(b'%x\r\n' % len(event) + event[:6])
