Bound the probe interval and the known causes of a quarantine

Cause: an entry of the store or of a peer with an absurd number of failed probes raised OverflowError where it was applied; parts of causes were kept without a limit. Change: the interval grows for 16 failed probes at most (it is at its limit after five); known parts are limited. Test: test_entry_with_an_absurd_number_of_strikes_is_in_force, failed before for 10**9.

--- a/src/anvilhall/core/evidence.py
+++ b/src/anvilhall/core/evidence.py
@@ -106,8 +106,10 @@
         self._explained: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        #: Parts of the causes found.
-        self._known: set[str] = set()
+        #: Parts of the causes found, oldest first.
+        self._known: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         #: Parts of served requests, least recently served first.
         self._sound: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -184,7 +186,8 @@
                 causes.add(self._list_common_parts(part, suspect))
                 crashes.update(suspect.crashes)
         for cause in causes:
-            self._known.update(cause)
+            self._known.update(dict.fromkeys(cause))
+        _trim(self._known, _MAX_SUSPECTS)
         self._explain(crashes)
         return sorted(causes)
 
--- a/src/anvilhall/core/quarantine.py
+++ b/src/anvilhall/core/quarantine.py
@@ -19,6 +19,8 @@
 _PROBE_INTERVAL_S = 10.0
 _PROBE_FACTOR = 4.0
 _PROBE_INTERVAL_MAX_S = 3600.0
+#: Failed probes after which the interval no longer grows.
+_MAX_STRIKES = 16
 #: Least seconds between two crashes that count as failed probes. Requests that
 #: were already on their way to runners fail at about the same time.
 _STRIKE_INTERVAL_S = 5.0
@@ -184,8 +186,9 @@
         self.on_decision(entry)
 
     def _set_entry(self, entry: QuarantineEntry, now: float) -> None:
+        strikes = min(max(entry.strikes, 0), _MAX_STRIKES)
         interval_s = min(
-            _PROBE_INTERVAL_S * _PROBE_FACTOR**entry.strikes,
+            _PROBE_INTERVAL_S * _PROBE_FACTOR**strikes,
             _PROBE_INTERVAL_MAX_S,
         )
         known = self._probes.get(entry.key)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -126,3 +126,12 @@
     assert is_refused(quarantine, ('doc-3', 'bad'), 2.0)
     quarantine.add(('worse',), 3.0)
     assert len(quarantine.entries) == 2
+
+
+@pytest.mark.parametrize('strikes', [10**9, -5])
+def test_entry_with_an_absurd_number_of_strikes_is_in_force(strikes):
+    quarantine = Quarantine()
+    entry = QuarantineEntry('k', ('bad',), 1, strikes)
+    assert quarantine.apply(entry, 0.0)
+    assert is_refused(quarantine, ('bad',), 9.0)
+    assert not is_refused(quarantine, ('bad',), 3601.0)
