Name the start of a runner in a loss as it was at the grant

Cause: the registry may have dropped a runner before the requests on it fail; their losses then named a start of unknown time, and a new owner counted one crash twice. Change: the start is taken when the grant arrives. Test: test_loss_names_the_start_of_the_runner_that_was_granted, failed before. Measured: by this test.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -115,12 +115,27 @@
 class _Running:
     """A request that holds a grant."""
 
-    __slots__ = ('ask', 'grant', 'handler', 'target', 'tokens')
+    __slots__ = (
+        'ask',
+        'grant',
+        'handler',
+        'runner_start',
+        'target',
+        'tokens',
+    )
 
-    def __init__(self, pending: _Pending, grant: Grant, target: str) -> None:
+    def __init__(
+        self,
+        pending: _Pending,
+        grant: Grant,
+        target: str,
+        runner_start: str,
+    ) -> None:
         self.ask = pending.ask
         self.handler = pending.handler
         self.grant = grant
+        #: Identifies the start of the runner that the grant is for.
+        self.runner_start = runner_start
         #: Instance that receives the request's progress and release.
         self.target = target
         self.tokens = 0
@@ -237,10 +252,12 @@
         """Release the grant of a request that has ended."""
         running = self._running.pop(release.request_id, None)
         if running:
-            runner = running.grant.runner
-            start = name_start(runner, self._directory.get_born(runner))
-            now = self._clock.monotonic()
-            self._losses.note_release(running.ask, release, start, now)
+            self._losses.note_release(
+                running.ask,
+                release,
+                running.runner_start,
+                self._clock.monotonic(),
+            )
             self._report(running.target, release)
 
     def handle_answer(self, sender: str, message: OwnerMessage) -> None:
@@ -431,7 +448,10 @@
             return
         if pending.target != sender:
             self._send_withdrawal(pending)
-        self._running[grant.request_id] = _Running(pending, grant, sender)
+        start = name_start(grant.runner, self._directory.get_born(grant.runner))
+        self._running[grant.request_id] = _Running(
+            pending, grant, sender, start
+        )
         self._prompts.add(grant.pool, Read(grant.runner, pending.ask.parts))
         pending.handler.handle_grant(grant)
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -15,6 +15,7 @@
     Release,
 )
 from anvilhall.core.owner import NOT_OWNER
+from anvilhall.exceptions import UpstreamCut
 
 TIMEOUTS = OwnerTimeouts(answer_timeout_s=0.06, settling_s=0.0)
 
@@ -70,7 +71,8 @@
 
     def ask(self, name='q1'):
         handler = _Handler()
-        ask = Ask('desk', name, 'lookup', 'ann', 1, 1, 10.0)
+        parts = (('part', 1),)
+        ask = Ask('desk', name, 'lookup', 'ann', 1, 1, 10.0, parts)
         self.broker.ask(ask, handler)
         return handler
 
@@ -209,3 +211,18 @@
     requester.wait(0.05)
     # The owner has as long for its answer as with the first ask.
     assert not requester.broker.running_count
+
+
+# Guards against one crash that counts twice, as the registry has dropped the
+# runner before the requests on it have failed.
+def test_loss_names_the_start_of_the_runner_that_was_granted(requester):
+    runner = Member('r1', 'a:1', 'd', 'desk', born=5)
+    requester.set_runners([runner])
+    requester.ask('q1')
+    grant = Grant('desk', 'q1', 'r1', 'a:1', 0)
+    requester.broker.handle_answer(requester.owner, grant)
+    requester.set_runners([])
+    cut = Release('desk', 'q1', served=False, failure=UpstreamCut.code)
+    requester.broker.release(cut)
+    (loss,) = requester.broker.list_inventory('desk').losses
+    assert loss.runner == 'r1/5'
