Lift no limit by an answer that was given before it

Cause: the release of a stream repeated what its head had said seconds before. A stream that began before the limit lifted it at its end, and what waited for the runner went out in one instant; the next answer named the limit again. Change: an attempt reports a limit once, with the first event or, without one, with the release. And an answer without a limit lifts it only after a second, or two of its intervals, in which no answer has named it.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -130,7 +130,8 @@
         self._buffer: list[bytes] = []
         self._buffer_size = 0
         self._response_head: tuple[int, HTTPHeaders] | None = None
-        #: Limit that the answer names; ``None``: no answer.
+        #: Limit that the answer names; ``None``: no answer, or reported already,
+        #: as a stream may end long after its head.
         self._requests_per_s: float | None = None
         self._border = EventBorder()
         #: Whether chunks are forwarded at once instead of buffered.
@@ -344,6 +345,7 @@
                 requests_per_s=self._requests_per_s,
             ),
         )
+        self._requests_per_s = None
 
     def _raise_failure(self, error: AnvilhallError) -> None:
         self._listener.drop_partial()
--- a/src/anvilhall/core/advertised.py
+++ b/src/anvilhall/core/advertised.py
@@ -5,6 +5,12 @@
 
 #: Seconds by which requests may come earlier than evenly spaced ones.
 _BURST_S = 0.5
+#: An answer without a limit lifts a limit only after this many seconds, or this
+#: many intervals if they are longer, in which no answer has named it: answers
+#: of a runner are not reported in the order in which it gave them.
+_HOLD_S = 1.0
+_HOLD_INTERVALS = 2
+_HOLD_MAX_S = 5.0
 #: Least requests per second to a runner, so that its answers tell when it takes
 #: more.
 _MIN_RATE_PER_S = 0.1
@@ -15,12 +21,14 @@
 class AdvertisedRate:
     """Spaces the requests to one runner by the limit that it advertises."""
 
-    __slots__ = ('_interval_s', '_next_at')
+    __slots__ = ('_interval_s', '_named_at', '_next_at')
 
     def __init__(self) -> None:
         """Start without a limit."""
         #: Seconds between two requests; 0: no limit.
         self._interval_s = 0.0
+        #: Monotonic time at which an answer last named a limit.
+        self._named_at = 0.0
         #: Monotonic time at which the next request is due.
         self._next_at = 0.0
 
@@ -34,13 +42,19 @@
         """
         rate = max(requests_per_s, _MIN_RATE_PER_S) * share
         if math.isinf(rate):
-            self._interval_s = 0.0
+            self._lift(now)
             return
+        self._named_at = now
         if not self._interval_s:
             # The others have their first requests at about the same time.
             self._next_at = now + (1 - share) / rate
         self._interval_s = 1 / rate
 
+    def _lift(self, now: float) -> None:
+        hold_s = max(_HOLD_S, self._interval_s * _HOLD_INTERVALS)
+        if now - self._named_at >= min(hold_s, _HOLD_MAX_S):
+            self._interval_s = 0.0
+
     def may_take(self, now: float) -> bool:
         """Return whether the runner may get a request now."""
         return not self._interval_s or now >= self._next_at - _BURST_S
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -321,7 +321,8 @@
         #: Longest gap between chunks since the last progress report.
         self._longest_gap_s = 0.0
         self._reader = EventReader()
-        #: Limit that the answer names; ``None``: no answer.
+        #: Limit that the answer names; ``None``: no answer, or reported already,
+        #: as a stream may end long after its head.
         self._requests_per_s: float | None = None
 
     async def exchange(self, wire: Wire) -> Reply:
@@ -450,6 +451,7 @@
                 requests_per_s=self._requests_per_s,
             ),
         )
+        self._requests_per_s = None
         self._longest_gap_s = 0.0
 
     def _check_end(
--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -1,8 +1,10 @@
 """Runners that advertise how many requests a second they take."""
 
 import asyncio
+import math
 import time
 
+from anvilhall.core.shard import Shard
 from tests.cluster import open_cluster
 from tests.site import run_site, wait_until
 
@@ -111,3 +113,30 @@
             assert len(limited.runs) - before <= allowed
 
     asyncio.run(scenario())
+
+
+# Guards against a stream that began before the limit and ends after it: its
+# release must not say that the runner names none.
+def test_release_of_a_stream_does_not_repeat_what_its_head_said(monkeypatch):
+    reports = []
+    for name in ('note_progress', 'release'):
+        original = getattr(Shard, name)
+
+        def record(shard, message, now, original=original):
+            reports.append((type(message).__name__, message.requests_per_s))
+            original(shard, message, now)
+
+        monkeypatch.setattr(Shard, name, record)
+
+    async def scenario():
+        async with run_site(engines=1, events=3) as site:
+            site.runners['llm-0'].traits.requests_per_s = '9.5'
+            await site.fetch('/brief/1', method='POST', body=b'q')
+            await site.fetch('/lookup/1')
+        assert reports == [
+            ('Progress', 9.5),
+            ('Release', None),
+            ('Release', math.inf),
+        ]
+
+    asyncio.run(scenario())
