--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -130,8 +130,8 @@
         self._buffer: list[bytes] = []
         self._buffer_size = 0
         self._response_head: tuple[int, HTTPHeaders] | None = None
-        #: Limit that the answer names; ``None``: no answer, or reported already,
-        #: as a stream may end long after its head.
+        #: Limit that the answer names; ``None`` before the answer and, as a
+        #: stream may end long after its head, once it is reported.
         self._requests_per_s: float | None = None
         self._border = EventBorder()
         #: Whether chunks are forwarded at once instead of buffered.
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -321,8 +321,8 @@
         #: Longest gap between chunks since the last progress report.
         self._longest_gap_s = 0.0
         self._reader = EventReader()
-        #: Limit that the answer names; ``None``: no answer, or reported already,
-        #: as a stream may end long after its head.
+        #: Limit that the answer names; ``None`` before the answer and, as a
+        #: stream may end long after its head, once it is reported.
         self._requests_per_s: float | None = None
 
     async def exchange(self, wire: Wire) -> Reply:
