Relay a stream's head without a body

What callers would see: 502 for a HEAD request on a streaming route, since the response does not end an event. Cause: asked every response of a streaming route below 300 for events. Change: only a response with status 200 to another method than HEAD must end an event.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -292,7 +292,10 @@
         if not self._job.route.streaming or self._response_head is None:
             return None
         status, _ = self._response_head
-        if status >= HTTPStatus.MULTIPLE_CHOICES or self._border.reached:
+        has_events = status == HTTPStatus.OK and (
+            self._job.request.method != 'HEAD'
+        )
+        if not has_events or self._border.reached:
             return None
         return UpstreamCut('the stream ended within an event')
 
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -86,6 +86,17 @@
     asyncio.run(scenario())
 
 
+# Guards against a response without a body that counts as a broken stream.
+def test_head_of_a_stream_is_relayed():
+    async def scenario():
+        async with run_site(engines=1) as site:
+            reply = await site.fetch('/brief/1', method='HEAD')
+            assert reply.status == 200
+            assert not reply.body
+
+    asyncio.run(scenario())
+
+
 # Guards against a stream whose runner ends within an event and that the caller
 # takes for whole, because neither a length nor chunks tell.
 @pytest.mark.parametrize('size', [0, 3, 7, 8, len(EVENTS) - 1])
