--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -14,7 +14,8 @@
     Refusal,
     Release,
 )
-from anvilhall.core.owner import NOT_OWNER
+from anvilhall.core.owner import NOT_OWNER, Owner
+from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.exceptions import UpstreamCut
 
 TIMEOUTS = OwnerTimeouts(answer_timeout_s=0.06, settling_s=0.0)
@@ -226,3 +227,20 @@
     requester.broker.release(cut)
     (loss,) = requester.broker.list_inventory('desk').losses
     assert loss.runner == 'r1/5'
+
+
+# Guards against slots that stay taken after a suspended owner has resumed: the
+# releases that were sent meanwhile are lost with the links.
+def test_inventory_after_a_reconnect_frees_requests_that_have_ended(
+    clock, tree
+):
+    answers = []
+    owner = Owner(clock, lambda instance, message: answers.append(message))
+    owner.set_tree(tree)
+    owner.set_endpoints('desk', [RunnerEndpoint('r1', 'a:1')])
+    owner.take_over('desk', ())
+    owner.handle('e1', Ask('desk', 'q1', 'lookup', 'ann', 1, 1, 10.0))
+    assert isinstance(answers[0], Grant)
+    clock.advance(2)
+    owner.handle('e1', Inventory('desk', ()))
+    assert not owner.get_shard('desk').running_count
