Log the store's era and runner records that are ignored

Cause under study: a store that comes back from an older copy. The logs named neither its return nor a record that the view of the runners ignores, so the hypotheses could not be told apart.

--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -209,6 +209,15 @@
                 self._notify_peers(RunnerNews(version, member, gone))
 
     def _apply_record(self, record: KeyedRecord, now: float) -> None:
+        known = self._view.get_version(record.key)
+        if record.offset < known:
+            log_event(
+                'record_ignored',
+                topic=self._topic,
+                key=record.key,
+                offset=record.offset,
+                known=known,
+            )
         if record.content is None:
             self._view.remove(record.key, record.offset, now)
             return
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -15,6 +15,7 @@
     UpstreamRefused,
     UpstreamStalled,
 )
+from anvilhall.logs import log_event
 from anvilhall.outbound import Call, Outbound, Reply
 
 #: Topics; the last one belongs to this system. Each has one partition.
@@ -35,6 +36,9 @@
 _MS_PER_S = 1000
 _HTTP_OK = 200
 _HTTP_GONE = 410
+#: Number of times that the store has come back from an older copy, in which
+#: the records after the copy are missing.
+_ERA = 'Store-Era'
 _LENGTH = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
 
@@ -78,12 +82,14 @@
     :param outbound: HTTP client.
     """
 
-    __slots__ = ('_address', '_outbound')
+    __slots__ = ('_address', '_era', '_outbound')
 
     def __init__(self, address: str, outbound: Outbound) -> None:
         """Create a client of the store at ``HOST:PORT``."""
         self._address = address
         self._outbound = outbound
+        #: Era that the last answer stated; -1: none.
+        self._era = -1
 
     async def list_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key, and the next offset to read.
@@ -150,6 +156,7 @@
             raise LogUnavailable(error.reason) from error
         except (UpstreamCut, UpstreamStalled) as uncertain:
             raise AppendUncertain(uncertain.reason) from uncertain
+        self._note_era(reply)
         _check_status(reply)
 
     async def _read_newest(self, topic: str, after: str) -> _NewestPage:
@@ -173,9 +180,24 @@
             idle_limit_s=_IDLE_LIMIT_S,
         )
         try:
-            return await self._outbound.fetch(call)
+            reply = await self._outbound.fetch(call)
         except (UpstreamRefused, UpstreamCut, UpstreamStalled) as error:
             raise LogUnavailable(error.reason) from error
+        self._note_era(reply)
+        return reply
+
+    def _note_era(self, reply: Reply) -> None:
+        era = _read_era(reply)
+        if era != self._era:
+            log_event('store_era', era=era, before=self._era)
+        self._era = era
+
+
+def _read_era(reply: Reply) -> int:
+    text = reply.headers.get(_ERA, '0')
+    if not text.isdecimal():
+        raise LogUnavailable(f'{_ERA} is not a number: {text!r}')
+    return int(text)
 
 
 def _check_status(reply: Reply) -> None:
