Load Hypothesis before the tests

Cause: a run of tests that do not use Hypothesis loaded it for the summary at its end. Tracebacks of closed event loops that the garbage collector formats meanwhile break the parser of CPython 3.11 (SystemError: AST constructor recursion depth mismatch). Seen on each of two runs of test_feeds, test_feeds_settings and test_relay, whose tests had all passed. Change: conftest imports it first.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 import datetime as dt
 
+# Its plugin would load it for the summary, where a traceback that the garbage
+# collector formats breaks the parser of CPython 3.11.
+import hypothesis  # noqa: F401
 import pytest
 
 from anvilhall.clock import ManualClock
