Order records of the store by era and offset

What callers could see: requests to a runner after it reported that it drains (DRAIN), no requests to a new one, or settings that are not in force (CONFIG). Cause: a store that comes back from an older copy gives offsets out again. The view of the runners, and the messages between instances, took a record for older if its offset was below the known one; a reader went on at its old offset and skipped what had been written there meanwhile. 410 comes only while the topic is shorter than that. Ruled out: settings that come back older; they are compared by version. Change: positions have an era, which the store states in each answer; records and messages are ordered by both. A read of another era fails, and the feed lists the topic anew. For two seconds after a restore, the view does not believe entries that are older than what it knows: a drained runner that is ready again, one that was gone, a missing one. The stand-in comes back from an older copy.

--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -11,6 +11,7 @@
 
 from anvilhall.core.evidence import Loss
 from anvilhall.core.members import Member
+from anvilhall.core.positions import Position
 from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.exceptions import PeerProtocolBroken
 
@@ -203,11 +204,17 @@
 class RunnerNews(_Message, frozen=True):
     """The registry's record of a runner, passed on between instances."""
 
-    #: Offset of the record; a later record has a higher one.
-    version: int
+    #: Offset of the record; a later record of the era has a higher one.
+    offset: int
     runner: Member
     #: Whether the runner's entry was removed.
     gone: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the record in the registry."""
+        return Position(self.era, self.offset)
 
 
 class RunnersRead(_Message, frozen=True):
@@ -219,6 +226,12 @@
     digest: int
     #: Version of the settings at the sender if it polls them itself, else -1.
     settings_version: int = -1
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position up to which the sender's view covers the registry."""
+        return Position(self.era, self.covers)
 
 
 class RunnersAsk(_Message, frozen=True):
@@ -231,6 +244,12 @@
     #: Offset up to which the sender's view covers the registry's records.
     covers: int
     entries: tuple[RunnerNews, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position up to which the sender's view covers the registry."""
+        return Position(self.era, self.covers)
 
 
 class QuarantineNews(_Message, frozen=True):
--- a/src/anvilhall/core/views.py
+++ b/src/anvilhall/core/views.py
@@ -4,6 +4,10 @@
 during an outage of the registry itself. Runners whose entry is missing just
 after an outage are therefore kept for a grace period, in which live runners
 write their entries again.
+
+A registry that was restored from an older copy starts a new era. For the same
+period, its entries are not believed where they are older than what is known of
+a runner: that it drains, has restarted or is gone.
 """
 
 import hashlib
@@ -11,6 +15,7 @@
 import msgspec
 
 from anvilhall.core.members import Member
+from anvilhall.core.positions import UNREAD, Position
 
 #: Seconds without contact after which the registry counts as unavailable. This
 #: exceeds the delay after which an instance whose registry reader is late polls
@@ -29,10 +34,10 @@
 
     __slots__ = (
         '_contact_at',
+        '_deferred',
         '_digest',
         '_members',
         '_recovered_at',
-        '_removals',
         '_versions',
         'covers',
     )
@@ -40,15 +45,16 @@
     def __init__(self) -> None:
         """Create an empty view."""
         self._members: dict[str, Member] = {}
-        #: Offset of the newest applied record by runner. Removed runners keep
+        #: Position of the newest applied record by runner. Removed runners keep
         #: theirs, so that stale news does not add them again.
-        self._versions: dict[str, int] = {}
-        #: Runners whose removal waits for the end of the grace period.
-        self._removals: set[str] = set()
+        self._versions: dict[str, Position] = {}
+        #: Newest records that wait for the end of the grace period, by runner;
+        #: a record without a runner is a removal.
+        self._deferred: dict[str, tuple[Position, Member | None]] = {}
         self._contact_at: float | None = None
         self._digest: int | None = None
-        #: Offset up to which the view covers the registry's records.
-        self.covers = -1
+        #: Position up to which the view covers the registry's records.
+        self.covers = UNREAD
         self._recovered_at = -RECOVERY_GRACE_S
 
     @property
@@ -56,9 +62,10 @@
         """The runners, including those whose removal is pending."""
         return tuple(self._members.values())
 
-    def get_version(self, name: str) -> int:
-        """Return the offset of a runner's newest record, or -1."""
-        return self._versions.get(name, -1)
+    def get_version(self, name: str) -> Position:
+        """Return the position of a runner's newest record."""
+        deferred = self._deferred.get(name)
+        return deferred[0] if deferred else self._versions.get(name, UNREAD)
 
     @property
     def digest(self) -> int:
@@ -71,16 +78,16 @@
         return self._digest
 
     @property
-    def has_pending_removals(self) -> bool:
-        """Whether removals wait for the end of the grace period."""
-        return bool(self._removals)
+    def has_deferred(self) -> bool:
+        """Whether records wait for the end of the grace period."""
+        return bool(self._deferred)
 
-    def has_newer(self, covers: int) -> bool:
-        """Return whether any record has this offset or a higher one."""
-        return max(self._versions.values(), default=-1) >= covers
+    def has_newer(self, covers: Position) -> bool:
+        """Return whether any record has this position or a higher one."""
+        return max(self._versions.values(), default=UNREAD) >= covers
 
-    def list_entries(self) -> list[tuple[int, Member]]:
-        """Return the runners, each after the offset of its newest record."""
+    def list_entries(self) -> list[tuple[Position, Member]]:
+        """Return the runners, each after the position of its record."""
         return [
             (self._versions[name], member)
             for name, member in self._members.items()
@@ -103,47 +110,83 @@
         """
         return None if self._contact_at is None else now - self._contact_at
 
-    def put(self, member: Member, version: int) -> None:
-        """Add or update a runner, unless a newer record has been applied."""
+    def note_era(self, era: int, now: float) -> None:
+        """Note the era of the registry; call this before applying its records.
+
+        Starts the grace period if the registry was restored.
+        """
+        if 0 <= self.covers.era < era:
+            self._recovered_at = now
+
+    def put(self, member: Member, version: Position, now: float) -> None:
+        """Add or update a runner, unless a newer record has been applied.
+
+        During the grace period, a record that is older than what is known from
+        an earlier era is deferred to :meth:`expire`.
+        """
         if version < self.get_version(member.name):
             return
-        self._versions[member.name] = version
-        self._removals.discard(member.name)
-        if self._members.get(member.name) != member:
-            self._members[member.name] = member
-            self._digest = None
+        if self._is_recovering(now) and self._is_outdated(member, version):
+            self._deferred[member.name] = (version, member)
+        else:
+            self._apply(member, version)
 
-    def remove(self, name: str, version: int, now: float) -> None:
+    def remove(self, name: str, version: Position, now: float) -> None:
         """Remove a runner, unless a newer record has been applied.
 
         During the grace period, the removal is deferred to :meth:`expire`.
         """
         if version < self.get_version(name):
             return
-        self._versions[name] = version
-        if (
-            now - self._recovered_at < RECOVERY_GRACE_S
-            and name in self._members
-        ):
-            self._removals.add(name)
+        if self._is_recovering(now) and name in self._members:
+            self._deferred[name] = (version, None)
         else:
+            self._versions[name] = version
+            self._deferred.pop(name, None)
             self._drop(name)
 
-    def keep_only(self, names: set[str], end: int, now: float) -> None:
+    def keep_only(self, names: set[str], end: Position, now: float) -> None:
         """Remove the runners that a complete list of entries does not name.
 
-        :param end: offset up to which the list covers the registry's records.
+        :param end: position up to which the list covers the registry's records.
         """
-        for name in list(self._members):
-            if name not in names:
-                self.remove(name, end, now)
+        for name in self._members.keys() - names:
+            self.remove(name, end, now)
+        # Entries of a copy that have gone since.
+        for unlisted in self._deferred.keys() - names - self._members.keys():
+            self.remove(unlisted, end, now)
 
     def expire(self, now: float) -> None:
-        """Apply the pending removals once the grace period is over."""
-        if self._removals and now - self._recovered_at >= RECOVERY_GRACE_S:
-            for name in self._removals:
-                self._drop(name)
-            self._removals.clear()
+        """Apply the deferred records once the grace period is over."""
+        if self._is_recovering(now):
+            return
+        for name, (version, member) in list(self._deferred.items()):
+            if member:
+                self._apply(member, version)
+            else:
+                self.remove(name, version, now)
+
+    def _is_recovering(self, now: float) -> bool:
+        return now - self._recovered_at < RECOVERY_GRACE_S
+
+    def _is_outdated(self, member: Member, version: Position) -> bool:
+        """Return whether more is known of a runner from an earlier era."""
+        applied = self._versions.get(member.name)
+        if applied is None or applied.era >= version.era:
+            return False
+        known = self._members.get(member.name)
+        if known is None or member.born < known.born:
+            return True
+        return (
+            known.leaving and not member.leaving and member.born == known.born
+        )
+
+    def _apply(self, member: Member, version: Position) -> None:
+        self._versions[member.name] = version
+        self._deferred.pop(member.name, None)
+        if self._members.get(member.name) != member:
+            self._members[member.name] = member
+            self._digest = None
 
     def _drop(self, name: str) -> None:
         if self._members.pop(name, None):
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -310,6 +310,13 @@
     outcome = Outcome.NOT_RUN
 
 
+class StoreRestored(PlatformError):
+    """The store has come back from an older copy; read it from the start."""
+
+    code = 'store_restored'
+    outcome = Outcome.NOT_RUN
+
+
 class UnusableEntry(PlatformError):
     """A registry entry does not describe a usable runner or instance."""
 
--- a/src/anvilhall/feeds/base.py
+++ b/src/anvilhall/feeds/base.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 
 from anvilhall.clock import Clock
-from anvilhall.exceptions import LogUnavailable, PlatformError, RecordsExpired
+from anvilhall.exceptions import (
+    LogUnavailable,
+    PlatformError,
+    RecordsExpired,
+    StoreRestored,
+)
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
 from anvilhall.platform.store import StoreClient
@@ -71,6 +76,12 @@
                 await self._follow_topic()
             except RecordsExpired:
                 log_event('history_expired', topic=self._topic)
+            except StoreRestored as restored:
+                log_event(
+                    'store_restored',
+                    topic=self._topic,
+                    reason=restored.reason,
+                )
             except LogUnavailable as error:
                 self._record_failure(error)
                 await self._back_off()
--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -7,6 +7,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
 from anvilhall.core.messages import RunnerNews, RunnersOffer, RunnersRead
+from anvilhall.core.positions import Position
 from anvilhall.core.views import RunnerView
 from anvilhall.exceptions import LogUnavailable, UnusableEntry
 from anvilhall.feeds.base import Feed
@@ -27,8 +28,8 @@
 #: reader reads the registry itself: two missed reads, still within those two
 #: seconds.
 _MAX_VIEW_AGE_S = 1.6
-#: Seconds between checks for deferred removals that are due.
-_REMOVAL_CHECK_S = 0.2
+#: Seconds between checks for deferred records that are due.
+_DEFERRED_CHECK_S = 0.2
 
 
 class RunnersFeed(Feed):
@@ -71,14 +72,16 @@
 
     def apply_news(self, news: RunnerNews) -> None:
         """Apply a registry record that another instance has read."""
-        if news.version <= self._view.get_version(news.runner.name):
+        name = news.runner.name
+        if news.position <= self._view.get_version(name):
             return
         before = self._view.members
+        now = self._clock.monotonic()
+        self._view.note_era(news.era, now)
         if news.gone:
-            now = self._clock.monotonic()
-            self._view.remove(news.runner.name, news.version, now)
+            self._view.remove(name, news.position, now)
         else:
-            self._view.put(news.runner, news.version)
+            self._view.put(news.runner, news.position, now)
         self._publish_changes(before, 'peer')
 
     def measure_age_s(self) -> float | None:
@@ -94,31 +97,34 @@
         if read.digest == self._view.digest:
             now = self._clock.monotonic()
             self._view.note_contact(now)
-            self._view.covers = max(self._view.covers, read.covers)
+            self._view.note_era(read.era, now)
+            self._view.covers = max(self._view.covers, read.position)
             return True
-        return self._view.has_newer(read.covers)
+        return self._view.has_newer(read.position)
 
     def build_offer(self) -> RunnersOffer:
         """Return a message with all runners of the view."""
         entries = tuple(
-            RunnerNews(version, member)
+            RunnerNews(version.offset, member, era=version.era)
             for version, member in self._view.list_entries()
         )
-        return RunnersOffer(self._view.covers, entries)
+        covers = self._view.covers
+        return RunnersOffer(covers.offset, entries, covers.era)
 
     def apply_offer(self, offer: RunnersOffer) -> None:
         """Apply the view of another instance unless it is older."""
-        if offer.covers < self._view.covers:
+        if offer.position < self._view.covers:
             return
         before = self._view.members
         now = self._clock.monotonic()
         self._view.note_contact(now)
+        self._view.note_era(offer.era, now)
         names: set[str] = set()
         for entry in offer.entries:
             names.add(entry.runner.name)
-            self._view.put(entry.runner, entry.version)
-        self._view.keep_only(names, offer.covers, now)
-        self._view.covers = offer.covers
+            self._view.put(entry.runner, entry.position, now)
+        self._view.keep_only(names, offer.position, now)
+        self._view.covers = offer.position
         self._publish_changes(before, 'peer')
 
     async def _follow_topic(self) -> None:
@@ -134,7 +140,7 @@
         self._apply_page(page, complete=True, notify=not first)
         while self._is_reader():
             await asyncio.sleep(_RUNNERS_INTERVAL_S)
-            page = await self._read(page.next_offset)
+            page = await self._read(page.end)
             self._apply_page(page, complete=False)
 
     def _is_read_due(self) -> bool:
@@ -143,17 +149,17 @@
 
     async def _wait_until_due(self) -> None:
         while not self._is_read_due():
-            if self._view.has_pending_removals:
-                await asyncio.sleep(_REMOVAL_CHECK_S)
+            if self._view.has_deferred:
+                await asyncio.sleep(_DEFERRED_CHECK_S)
                 self._expire()
             else:
                 age_s = self.measure_age_s() or 0.0
                 await self._sleep_until_stale(age_s, _MAX_VIEW_AGE_S)
 
-    async def _read(self, offset: int) -> KeyedPage:
+    async def _read(self, start: Position) -> KeyedPage:
         while True:
             try:
-                return await self._store.read(self._topic, offset, 0)
+                return await self._store.read(self._topic, start, 0)
             except LogUnavailable as error:
                 self._record_failure(error)
                 self._expire()
@@ -170,17 +176,21 @@
         before = self._view.members
         now = self._clock.monotonic()
         self._view.note_contact(now)
+        self._view.note_era(page.end.era, now)
         for record in page.records:
             self._apply_record(record, now)
         if complete:
             names = {listed.key for listed in page.records}
-            self._view.keep_only(names, page.next_offset, now)
+            self._view.keep_only(names, page.end, now)
         self._view.expire(now)
-        self._view.covers = max(self._view.covers, page.next_offset)
+        self._view.covers = max(self._view.covers, page.end)
         # Peers get no changes from the first read, because each instance reads
         # the whole registry at its own start.
         self._publish_changes(before, 'store', notify=notify)
-        self._notify_peers(RunnersRead(self._view.covers, self._view.digest))
+        covers = self._view.covers
+        self._notify_peers(
+            RunnersRead(covers.offset, self._view.digest, era=covers.era),
+        )
 
     def _expire(self) -> None:
         before = self._view.members
@@ -206,20 +216,23 @@
             gone = member.name not in names
             if gone or member in after:
                 version = self._view.get_version(member.name)
-                self._notify_peers(RunnerNews(version, member, gone))
+                self._notify_peers(
+                    RunnerNews(version.offset, member, gone, version.era),
+                )
 
     def _apply_record(self, record: KeyedRecord, now: float) -> None:
         known = self._view.get_version(record.key)
-        if record.offset < known:
+        if record.position < known:
             log_event(
                 'record_ignored',
                 topic=self._topic,
                 key=record.key,
-                offset=record.offset,
-                known=known,
+                era=record.position.era,
+                offset=record.position.offset,
+                known_offset=known.offset,
             )
         if record.content is None:
-            self._view.remove(record.key, record.offset, now)
+            self._view.remove(record.key, record.position, now)
             return
         try:
             runner = decode_runner(record, self._region)
@@ -229,9 +242,9 @@
                 error.code,
             ).inc()
             log_event('entry_unusable', reason=error.reason)
-            self._view.remove(record.key, record.offset, now)
+            self._view.remove(record.key, record.position, now)
         else:
-            self._view.put(runner, record.offset)
+            self._view.put(runner, record.position, now)
 
 
 def _log_runner_changes(
--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -203,7 +203,7 @@
         while self._is_poll_due():
             page = await self._store.read(
                 self._topic,
-                page.next_offset,
+                page.end,
                 poll_s,
             )
             self._apply_page(page)
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from anvilhall.core.positions import UNREAD, Position
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
     UpstreamCut,
     UpstreamRefused,
     UpstreamStalled,
@@ -39,6 +41,7 @@
 #: Number of times that the store has come back from an older copy, in which
 #: the records after the copy are missing.
 _ERA = 'Store-Era'
+_MAX_ERA_DIGITS = 18
 _LENGTH = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
 
@@ -51,15 +54,14 @@
     key: str
     #: ``None``: the key was removed.
     content: bytes | None
-    #: Position in the topic, increasing with each record; -1: not yet written.
-    offset: int = -1
+    position: Position = UNREAD
 
 
 class KeyedPage(msgspec.Struct, frozen=True):
-    """Records and the offset at which to continue reading."""
+    """Records and the position at which to continue reading."""
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    end: Position
 
 
 class _Item(msgspec.Struct):
@@ -92,46 +94,53 @@
         self._era = -1
 
     async def list_newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key, and the next offset to read.
+        """Return the newest record of each key, and the next position to read.
 
+        :raises StoreRestored: if the store was restored between two pages.
         :raises LogUnavailable: if the call fails or the response is invalid.
         """
         records: list[KeyedRecord] = []
         # The pages are not a consistent snapshot: changes between them are read
         # again from the end offset that the first page states.
-        next_offset: int | None = None
+        end: Position | None = None
         after = ''
         while True:
-            page = await self._read_newest(topic, after)
-            if next_offset is None:
-                next_offset = page.end
-            records.extend(_decode_item(entry) for entry in page.items)
+            era, page = await self._read_newest(topic, after)
+            if end is None:
+                end = Position(era, page.end)
+            _check_era(topic, end, era)
+            records.extend(_decode_item(entry, era) for entry in page.items)
             if not page.truncated or not page.items:
-                return KeyedPage(tuple(records), next_offset)
+                return KeyedPage(tuple(records), end)
             after = page.items[-1].key
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        start: Position,
         wait_s: float,
     ) -> KeyedPage:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         :param wait_s: seconds to wait for a record if there is none yet.
+        :raises StoreRestored: if the store is in another era.
         :raises RecordsExpired: if the store no longer has that offset.
         :raises LogUnavailable: if the call fails or the response is invalid.
         """
+        offset = start.offset
         query = {'from': offset, 'topic': topic, 'part': _PARTITION}
         if wait_s > 0:
             query['wait_ms'] = int(wait_s * _MS_PER_S)
-        reply = await self._get('log-read', query, wait_s + _CALL_TIMEOUT_S)
+        era, reply = await self._get(
+            'log-read', query, wait_s + _CALL_TIMEOUT_S
+        )
+        _check_era(topic, start, era)
         if reply.status == _HTTP_GONE:
             raise RecordsExpired(
                 f'offset {offset} of topic {topic} has expired'
             )
         _check_status(reply)
-        return _decode_records(reply.body, offset)
+        return _decode_records(reply.body, start)
 
     async def put(self, topic: str, record: KeyedRecord) -> None:
         """Write a record; a ``content`` of ``None`` removes its key.
@@ -159,20 +168,22 @@
         self._note_era(reply)
         _check_status(reply)
 
-    async def _read_newest(self, topic: str, after: str) -> _NewestPage:
+    async def _read_newest(
+        self, topic: str, after: str
+    ) -> tuple[int, _NewestPage]:
         query: dict[str, object] = {'topic': topic, 'part': _PARTITION}
         if after:
             query['after'] = after
-        reply = await self._get('log-newest', query, _CALL_TIMEOUT_S)
+        era, reply = await self._get('log-newest', query, _CALL_TIMEOUT_S)
         _check_status(reply)
-        return _decode(reply.body, _NewestPage)
+        return era, _decode(reply.body, _NewestPage)
 
     async def _get(
         self,
         path: str,
         query: dict[str, object] | dict[str, str | int],
         timeout_s: float,
-    ) -> Reply:
+    ) -> tuple[int, Reply]:
         call = Call(
             url=f'http://{self._address}/{path}?{urlencode(query)}',
             connect_timeout_s=_CONNECT_TIMEOUT_S,
@@ -183,23 +194,40 @@
             reply = await self._outbound.fetch(call)
         except (UpstreamRefused, UpstreamCut, UpstreamStalled) as error:
             raise LogUnavailable(error.reason) from error
-        self._note_era(reply)
-        return reply
+        return self._note_era(reply), reply
 
-    def _note_era(self, reply: Reply) -> None:
-        era = _read_era(reply)
-        if era != self._era:
+    def _note_era(self, reply: Reply) -> int:
+        """Return the era of an answer.
+
+        :raises LogUnavailable: if it is malformed, or lower than one before.
+        """
+        era = _read_era(reply, self._era)
+        if era < self._era:
+            raise LogUnavailable(
+                f'answer of era {era} after one of era {self._era}',
+            )
+        if era > self._era:
             log_event('store_era', era=era, before=self._era)
         self._era = era
+        return era
 
 
-def _read_era(reply: Reply) -> int:
-    text = reply.headers.get(_ERA, '0')
-    if not text.isdecimal():
+def _read_era(reply: Reply, known: int) -> int:
+    text = reply.headers.get(_ERA)
+    if text is None:
+        return max(0, known)
+    if not text.isdecimal() or len(text) > _MAX_ERA_DIGITS:
         raise LogUnavailable(f'{_ERA} is not a number: {text!r}')
     return int(text)
 
 
+def _check_era(topic: str, known: Position, era: int) -> None:
+    if era != known.era:
+        raise StoreRestored(
+            f'topic {topic} is in era {era}, its offsets are of {known.era}',
+        )
+
+
 def _check_status(reply: Reply) -> None:
     if reply.status != _HTTP_OK:
         raise LogUnavailable(f'the store answered {reply.status}')
@@ -212,43 +240,47 @@
         raise LogUnavailable(f'malformed response: {error}') from error
 
 
-def _decode_item(entry: _Item) -> KeyedRecord:
+def _decode_item(entry: _Item, era: int) -> KeyedRecord:
     try:
         content = base64.b64decode(entry.value)
-        return KeyedRecord(entry.key, content, entry.offset)
+        position = Position(era, entry.offset)
+        return KeyedRecord(entry.key, content, position)
     except ValueError as error:
         raise LogUnavailable(
             f'record {entry.key!r} is not base64: {error}'
         ) from error
 
 
-def _decode_records(body: bytes, offset: int) -> KeyedPage:
+def _decode_records(body: bytes, start: Position) -> KeyedPage:
     if len(body) < _OFFSETS.size:
         raise LogUnavailable(
             f'response has {len(body)} bytes, its header {_OFFSETS.size}',
         )
     records: list[KeyedRecord] = []
-    position = _OFFSETS.size
-    while position < len(body):
-        start = position + _LENGTH.size
-        if start > len(body):
+    index = _OFFSETS.size
+    end = start
+    while index < len(body):
+        content_start = index + _LENGTH.size
+        if content_start > len(body):
             raise LogUnavailable(
                 f'response truncated after {len(records)} records',
             )
-        size = int.from_bytes(body[position:start])
-        position = start + size
-        if position > len(body):
+        size = int.from_bytes(body[index:content_start])
+        index = content_start + size
+        if index > len(body):
             raise LogUnavailable(
                 f'response truncated after {len(records)} records',
             )
-        frame = body[start:position]
-        records.append(_decode_frame(frame, offset + len(records)))
-    return KeyedPage(tuple(records), offset + len(records))
+        records.append(_decode_frame(body[content_start:index], end))
+        end = Position(start.era, end.offset + 1)
+    return KeyedPage(tuple(records), end)
 
 
-def _decode_frame(frame: bytes, offset: int) -> KeyedRecord:
+def _decode_frame(frame: bytes, position: Position) -> KeyedRecord:
     if not frame or len(frame) <= frame[0]:
-        raise LogUnavailable(f'the record at offset {offset} has no key')
+        raise LogUnavailable(
+            f'the record at offset {position.offset} has no key',
+        )
     key_end = 1 + frame[0]
     key = frame[1:key_end].decode('utf-8', 'replace')
-    return KeyedRecord(key, frame[key_end:] or None, offset)
+    return KeyedRecord(key, frame[key_end:] or None, position)
--- a/src/anvilhall_standins/platform/store.py
+++ b/src/anvilhall_standins/platform/store.py
@@ -2,7 +2,8 @@
 
 Faults: ``down`` answers all requests with 503; ``silent`` delays all requests
 beyond the duration of any test; ``lost`` closes the connection without a
-response after the write took effect, for as many writes as its amount.
+response after the write took effect, for as many writes as its amount. A POST
+to ``/restore`` has it come back from an older copy.
 """
 
 import asyncio
@@ -60,6 +61,12 @@
         :param frame: length of the key in one byte, the key, the content; a
             record without content deletes its key.
         """
+        offset = self._store(frame)
+        async with self.appended:
+            self.appended.notify_all()
+        return offset
+
+    def _store(self, frame: bytes) -> int:
         key_end = 1 + frame[0]
         key = frame[1:key_end].decode()
         offset = self.end
@@ -68,8 +75,6 @@
             self.newest[key] = (frame[key_end:], offset)
         else:
             self.newest.pop(key, None)
-        async with self.appended:
-            self.appended.notify_all()
         return offset
 
     def list_from(self, offset: int) -> list[bytes]:
@@ -81,11 +86,26 @@
         self._first = self.end
         self._records.clear()
 
+    def restore(self, lost: int) -> None:
+        """Drop the newest records; their offsets are given out again.
+
+        :param lost: number of records to drop; truncated ones are kept.
+        """
+        kept = self._records[: max(0, len(self._records) - lost)]
+        self._records = []
+        self.newest = {
+            key: entry
+            for key, entry in self.newest.items()
+            if entry[1] < self._first
+        }
+        for frame in kept:
+            self._store(frame)
+
 
 class Store:
     """All topics and the faults of the stand-in."""
 
-    __slots__ = ('faults', 'topics', 'writes')
+    __slots__ = ('era', 'faults', 'topics', 'writes')
 
     def __init__(self) -> None:
         """Create a store without topics and faults."""
@@ -93,11 +113,19 @@
         self.faults = Faults()
         #: Number of append requests that took effect.
         self.writes = 0
+        #: Stated in all answers; rises with each restore.
+        self.era = 1
 
     def get_topic(self, name: str) -> Topic:
         """Return a topic; the first call creates it."""
         return self.topics.setdefault(name, Topic())
 
+    def restore(self, lost: int) -> None:
+        """Come back from a copy without the newest records of each topic."""
+        self.era += 1
+        for topic in self.topics.values():
+            topic.restore(lost)
+
     async def put(self, topic: str, key: str, content: bytes) -> int:
         """Append a record in-process, in place of an operator or a runner."""
         encoded = key.encode()
@@ -112,6 +140,13 @@
         """Keep a reference to the store."""
         self._store = store
 
+    def finish(
+        self, chunk: str | bytes | dict[str, Any] | None = None
+    ) -> 'asyncio.Future[None]':
+        """State the era and send the answer."""
+        self.set_header('Store-Era', self._store.era)
+        return super().finish(chunk)
+
     async def prepare(self) -> None:
         """Apply the faults ``silent`` and ``down``."""
         if self._store.faults.get('silent'):
@@ -152,17 +187,17 @@
         """Return the records from the offset ``from`` on.
 
         At the end of the topic the request waits up to ``wait_ms``. An offset
-        that is no longer retained is answered with 410.
+        that the topic does not have is answered with 410.
         """
         topic = self._get_topic()
         offset = int(self.get_query_argument('from'))
         wait_s = int(self.get_query_argument('wait_ms', '0')) / _MS_PER_S
-        if offset < topic.first:
+        if wait_s and offset == topic.end:
+            await self._wait_for_append(topic, wait_s)
+        if not topic.first <= offset <= topic.end:
             self.set_status(_GONE)
             write_json(self, {'first': topic.first})
             return
-        if wait_s and offset >= topic.end:
-            await self._wait_for_append(topic, wait_s)
         frames = topic.list_from(offset)
         parts = [_OFFSETS.pack(topic.end, topic.first)]
         parts.extend(_LENGTH.pack(len(frame)) + frame for frame in frames)
@@ -176,6 +211,15 @@
             return
 
 
+class RestoreHandler(_StoreHandler):
+    """Restores the store from an older copy."""
+
+    def post(self) -> None:
+        """Drop the newest ``lost`` records of each topic."""
+        self._store.restore(int(self.get_query_argument('lost')))
+        write_json(self, {'era': self._store.era})
+
+
 class NewestRecordsHandler(_StoreHandler):
     """Returns the newest record of each key."""
 
@@ -207,6 +251,7 @@
             ('/log-append', AppendHandler, arguments),
             ('/log-read', ReadHandler, arguments),
             ('/log-newest', NewestRecordsHandler, arguments),
+            ('/restore', RestoreHandler, arguments),
             ('/faults', FaultHandler, {'faults': store.faults}),
         ],
         log_function=suppress_access_log,
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -8,7 +8,8 @@
 import pytest
 
 from anvilhall.core.messages import RunnerNews
-from anvilhall.exceptions import LogUnavailable
+from anvilhall.core.positions import Position
+from anvilhall.exceptions import LogUnavailable, StoreRestored
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.metrics import Metrics
 from anvilhall.platform.store import KeyedPage, KeyedRecord
@@ -24,9 +25,22 @@
 
     def __init__(self):
         self.records = []
+        self.era = 1
         self.calls = {}
         self.unreachable_from = set()
 
+    @property
+    def end(self):
+        return Position(self.era, len(self.records))
+
+    def restore(self, copied):
+        """Come back from a copy that has the first records only."""
+        self.era += 1
+        self.records = [
+            KeyedRecord(each.key, each.content, Position(self.era, index))
+            for index, each in enumerate(self.records[:copied])
+        ]
+
     def write(self, name, state='ready'):
         entry = {
             'service': 'desk',
@@ -35,7 +49,8 @@
             'state': state,
         }
         encoded = msgspec.json.encode(entry) if state else None
-        self.records.append(KeyedRecord(name, encoded, len(self.records)))
+        position = Position(self.era, len(self.records))
+        self.records.append(KeyedRecord(name, encoded, position))
 
     def connect(self, reader):
         return _Client(self, reader)
@@ -43,7 +58,7 @@
     def list_newest(self):
         newest = {record.key: record for record in self.records}
         kept = tuple(each for each in newest.values() if each.content)
-        return KeyedPage(kept, len(self.records))
+        return KeyedPage(kept, self.end)
 
 
 class _Client:
@@ -57,10 +72,12 @@
         self._count()
         return self._registry.list_newest()
 
-    async def read(self, topic, offset, wait_s):
+    async def read(self, topic, start, wait_s):
         self._count()
-        records = tuple(self._registry.records[offset:])
-        return KeyedPage(records, offset + len(records))
+        if start.era != self._registry.era:
+            raise StoreRestored('another era')
+        records = tuple(self._registry.records[start.offset :])
+        return KeyedPage(records, self._registry.end)
 
     def _count(self):
         calls = self._registry.calls
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from anvilhall.core.positions import Position
 from anvilhall.exceptions import LogUnavailable
 from anvilhall.feeds.settings import SettingsFeed
 from anvilhall.metrics import Metrics
@@ -32,7 +33,8 @@
 
     def publish(self, version):
         encoded = msgspec.json.encode({'version': version, 'routes': []})
-        record = KeyedRecord(CONFIG_KEY, encoded, len(self.records))
+        position = Position(1, len(self.records))
+        record = KeyedRecord(CONFIG_KEY, encoded, position)
         self.records.append(record)
         self._changed.set()
         self._changed = asyncio.Event()
@@ -61,7 +63,8 @@
         self._count()
         return self._read(max(0, len(self._store.records) - 1))
 
-    async def read(self, topic, offset, wait_s):
+    async def read(self, topic, start, wait_s):
+        offset = start.offset
         self._count()
         if offset >= len(self._store.records):
             await self._store.wait_for_change(wait_s)
@@ -70,7 +73,7 @@
 
     def _read(self, offset):
         records = self._store.records
-        return KeyedPage(tuple(records[offset:]), len(records))
+        return KeyedPage(tuple(records[offset:]), Position(1, len(records)))
 
     def _count(self):
         calls = self._store.calls
