Register again after the store was restored

What callers could see: nothing at first; later starts of instances would not have found the others, and each would have granted slots and spent the retry budget alone (BUDGET, TIER). Quarantined prompts would have been lost when all instances were replaced, and withdrawn ones would have come back. Cause: the entry of an instance and those of quarantined prompts are written once and were relied on for good; a store that comes back from an older copy lacks them. Change: instances learn the era from the reader of their domain and write their entry again, spread over half a second; readers compare the quarantined prompts with the restored list and write what it lacks. Known instances stay known, so that the share of the retry budget does not grow meanwhile. Evidence: three of four new tests fail on (register again, stored again, withdrawn); the one that counts instances passes there too. All pass now.

--- a/src/anvilhall/feeds/instances.py
+++ b/src/anvilhall/feeds/instances.py
@@ -1,11 +1,13 @@
 """Feed of the instances: registers this one and discovers the others.
 
 The entries of quarantined prompts are in the same topic and are read with it.
+A store that was restored from an older copy may lack entries of both kinds.
+Instances then register again, and readers write the prompts again.
 """
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
@@ -20,13 +22,16 @@
     encode_instance,
     is_quarantine,
 )
-from anvilhall.platform.store import INSTANCES_TOPIC, KeyedRecord, StoreClient
+from anvilhall.platform.store import INSTANCES_TOPIC, KeyedPage, StoreClient
 
 #: Seconds from the registration to the first read of the instance list, in
 #: which instances that start at the same time register, and on the reader of a
 #: failure domain to the second read.
 _FIRST_READ_S = 0.5
 _SECOND_READ_S = 3.5
+#: Upper limit of the seconds until an instance registers again, in which the
+#: writes of all instances spread.
+_REGISTER_AGAIN_S = 0.5
 #: Seconds between later reads: on the reader, and on others. The intervals may
 #: be long, because links announce new instances sooner.
 _READER_INTERVAL_S = 15.0
@@ -40,7 +45,10 @@
         '_on_change',
         '_on_quarantine',
         '_own',
-        '_registered',
+        '_read_era',
+        '_registered_era',
+        '_store_era',
+        '_store_restored',
         'members',
     )
 
@@ -52,13 +60,14 @@
         metrics: Metrics,
         rng: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
-        on_quarantine: Callable[[QuarantineEntry], None],
+        on_quarantine: Callable[[tuple[QuarantineEntry, ...], bool], None],
         is_reader: Callable[[], bool],
     ) -> None:
         """Start with this instance only.
 
         :param on_change: called with all instances after a change.
-        :param on_quarantine: called with each quarantined prompt at each read.
+        :param on_quarantine: called at each read with all quarantined prompts
+            of the store, and whether it may lack some that were stored before.
         """
         super().__init__(
             INSTANCES_TOPIC,
@@ -69,52 +78,102 @@
             is_reader,
         )
         self._own = own
-        self._registered = False
+        #: Era of the store in which this instance was registered; -1: none.
+        self._registered_era = -1
+        #: Era of the last read, or before it of the first entry; -1: none.
+        self._read_era = -1
+        #: Highest era that this instance or a peer has read.
+        self._store_era = -1
+        self._store_restored = asyncio.Event()
         self._on_change = on_change
         self._on_quarantine = on_quarantine
         self.members: tuple[Member, ...] = (own,)
 
+    def note_era(self, era: int) -> None:
+        """Note the era of the store that this instance or a peer has read."""
+        if era > self._store_era:
+            self._store_era = era
+            if self._is_entry_lost:
+                self._store_restored.set()
+
+    @property
+    def _is_entry_lost(self) -> bool:
+        """Whether the store may lack the entry of this instance."""
+        return self._registered_era < self._store_era
+
     async def _follow_topic(self) -> None:
-        if not self._registered:
-            await self._register()
-            await asyncio.sleep(_FIRST_READ_S)
+        await self._register()
         await self._discover()
-        if self._is_reader():
-            await asyncio.sleep(_SECOND_READ_S)
-            await self._discover()
+        reader = self._is_reader()
+        pause_s = _SECOND_READ_S if reader else _FOLLOWER_INTERVAL_S
         while True:
+            await self._pause(pause_s)
+            if self._is_entry_lost:
+                await asyncio.sleep(_REGISTER_AGAIN_S * self._rng.random())
+                await self._register()
+            await self._discover()
             reader = self._is_reader()
             pause_s = _READER_INTERVAL_S if reader else _FOLLOWER_INTERVAL_S
-            await asyncio.sleep(pause_s)
-            await self._discover()
+
+    async def _pause(self, pause_s: float) -> None:
+        """Sleep until the next read is due or the store is restored."""
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._store_restored.wait()
+        except TimeoutError:
+            return
+        self._store_restored.clear()
 
     async def _register(self) -> None:
+        """Write the entry of this instance unless the store has it."""
+        if self._registered_era >= 0 and not self._is_entry_lost:
+            return
         try:
-            await self._store.put(self._topic, encode_instance(self._own))
+            era = await self._store.put(self._topic, encode_instance(self._own))
         except AppendUncertain as error:
             # Retrying is safe: the entry would be written unchanged.
             raise LogUnavailable(error.reason) from error
-        self._registered = True
+        self._registered_era = era
+        if self._read_era < 0:
+            self._read_era = era
+        log_event('registered', era=era)
+        await asyncio.sleep(_FIRST_READ_S)
 
     async def _discover(self) -> None:
         page = await self._store.list_newest(self._topic)
         self._record_success()
-        found = {self._own.name: self._own}
-        for record in page.records:
-            member = self._decode(record) if record.content else None
-            if member:
-                found.setdefault(member.name, member)
+        restored = 0 <= self._read_era < page.end.era
+        self._read_era = page.end.era
+        self.note_era(page.end.era)
+        self._apply_members(page, restored=restored)
+        self._on_quarantine(tuple(_list_quarantined(page)), restored)
+
+    def _apply_members(self, page: KeyedPage, *, restored: bool) -> None:
+        listed = {member.name: member for member in _list_members(page)}
+        known = {member.name: member for member in self.members}
+        # Entries of instances stay in the store, so one that is missing was
+        # lost, and one of an older copy may be outdated.
+        found = listed | known if restored else known | listed
+        found[self._own.name] = self._own
         members = tuple(found[name] for name in sorted(found))
         if members != self.members:
             self.members = members
             self._on_change(members)
 
-    def _decode(self, record: KeyedRecord) -> Member | None:
-        """Return the instance of a record, or pass on a quarantined prompt."""
-        try:
-            if not is_quarantine(record):
-                return decode_instance(record)
-            self._on_quarantine(decode_quarantine(record))
-        except UnusableEntry as error:
-            log_event('entry_unusable', reason=error.reason)
-        return None
+
+def _list_members(page: KeyedPage) -> Iterator[Member]:
+    for record in page.records:
+        if record.content and not is_quarantine(record):
+            try:
+                yield decode_instance(record)
+            except UnusableEntry as error:
+                log_event('entry_unusable', reason=error.reason)
+
+
+def _list_quarantined(page: KeyedPage) -> Iterator[QuarantineEntry]:
+    for record in page.records:
+        if record.content and is_quarantine(record):
+            try:
+                yield decode_quarantine(record)
+            except UnusableEntry as error:
+                log_event('entry_unusable', reason=error.reason)
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -19,6 +19,7 @@
     SettingsOffer,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
+from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
     RequestLimits,
@@ -140,7 +141,7 @@
             self.metrics,
             rng,
             self._apply_instances,
-            self._fleet.quarantine.apply_stored,
+            self._apply_quarantine,
             self._reads_registry,
         )
         self._quarantine_writer = QuarantineWriter(
@@ -304,6 +305,15 @@
         self.context.services.budgets.instances = len(instances)
         self._update_members()
 
+    def _apply_quarantine(
+        self, stored: tuple[QuarantineEntry, ...], restored: bool
+    ) -> None:
+        quarantine = self._fleet.quarantine
+        quarantine.apply_stored(stored)
+        if restored and self._reads_registry():
+            for entry in quarantine.list_unstored(stored):
+                self._quarantine_writer.put(entry)
+
     def _update_members(self) -> None:
         members = (*self._instances_feed.members, *self._runners)
         self._fleet.set_member_list(MemberList(members=members))
@@ -331,6 +341,7 @@
 
     def _notify_peers(self, message: RunnerNews | RunnersRead) -> None:
         if isinstance(message, RunnersRead):
+            self._instances_feed.note_era(message.era)
             message = msgspec.structs.replace(
                 message,
                 settings_version=self._settings_feed.polled_version,
@@ -367,6 +378,7 @@
 
     def _handle_runners_read(self, sender: str, message: Message) -> None:
         assert isinstance(message, RunnersRead)  # noqa: S101
+        self._instances_feed.note_era(message.era)
         if not self._runners_feed.compare_read(message):
             self._try_send(sender, RunnersAsk())
         self._settings_feed.note_peer_version(message.settings_version)
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -142,9 +142,11 @@
         _check_status(reply)
         return _decode_records(reply.body, start)
 
-    async def put(self, topic: str, record: KeyedRecord) -> None:
+    async def put(self, topic: str, record: KeyedRecord) -> int:
         """Write a record; a ``content`` of ``None`` removes its key.
 
+        :return: the era of the store, which has the record until it is
+            restored.
         :raises LogUnavailable: if nothing was written.
         :raises AppendUncertain: if the record may have been written.
         """
@@ -165,8 +167,9 @@
             raise LogUnavailable(error.reason) from error
         except (UpstreamCut, UpstreamStalled) as uncertain:
             raise AppendUncertain(uncertain.reason) from uncertain
-        self._note_era(reply)
+        era = self._note_era(reply)
         _check_status(reply)
+        return era
 
     async def _read_newest(
         self, topic: str, after: str
--- a/src/anvilhall/quarantining.py
+++ b/src/anvilhall/quarantining.py
@@ -1,6 +1,6 @@
 """Exchange of quarantined prompts between instances."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from anvilhall.clock import Clock
 from anvilhall.core.messages import Message, QuarantineNews
@@ -61,9 +61,26 @@
             self._log_change(entry, source)
             self._broadcast(QuarantineNews(entry))
 
-    def apply_stored(self, entry: QuarantineEntry) -> None:
-        """Apply an entry of the platform's store."""
-        self.apply(entry, _STORE)
+    def apply_stored(self, entries: Iterable[QuarantineEntry]) -> None:
+        """Apply the entries of the platform's store."""
+        for entry in entries:
+            self.apply(entry, _STORE)
+
+    def list_unstored(
+        self, stored: Iterable[QuarantineEntry]
+    ) -> list[QuarantineEntry]:
+        """Return the entries of which the store lacks the newest version.
+
+        :param stored: the entries of the platform's store, which lists no
+            withdrawn ones.
+        """
+        orders = {entry.key: entry.order for entry in stored}
+        return [
+            entry
+            for entry in self._quarantine.entries
+            if (entry.parts or entry.key in orders)
+            and orders.get(entry.key) != entry.order
+        ]
 
     def send_entries(self, instance: str) -> None:
         """Send all entries to an instance whose link has come up."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 
 from tests.site import make_manifest, make_route, run_site, wait_until
 
-RUNNERS = 'keyed.servers'
+INSTANCES = 'keyed.instances'
 #: Number of records that a test writes and then loses.
 LOST = 8
 
@@ -134,3 +134,70 @@
             assert len(gateway.runners) == 2
 
     asyncio.run(scenario())
+
+
+# Guards against new instances that do not find the others.
+def test_instances_register_again():
+    async def scenario():
+        async with run_site() as site:
+            await site.add_gateway('g2')
+            topic = site.store.topics[INSTANCES]
+            await wait_until(lambda: set(topic.newest) == {'g1', 'g2'})
+            site.store.restore(2)
+            await wait_until(lambda: set(topic.newest) == {'g1', 'g2'})
+
+    asyncio.run(scenario())
+
+
+# Guards against a larger share of the retry budget than there is.
+def test_instances_missing_from_the_copy_are_counted():
+    async def scenario():
+        async with run_site() as site:
+            gateway = site.gateways['g1']
+            await site.add_gateway('g2')
+            budgets = gateway.context.services.budgets
+            await wait_until(lambda: budgets.instances == 2)
+            site.gateways['g2'].close()
+            site.store.restore(1)
+            await wait_until(
+                lambda: 'g1' in site.store.topics[INSTANCES].newest
+            )
+            await asyncio.sleep(2.5)
+            assert budgets.instances == 2
+
+    asyncio.run(scenario())
+
+
+# Guards against quarantined prompts that new instances do not know.
+def test_quarantined_prompts_are_stored_again():
+    async def scenario():
+        async with run_site() as site:
+            quarantine = site.gateways['g1'].context.services.broker.quarantine
+            topic = site.store.topics[INSTANCES]
+            quarantine.add(('deadly',), 0.0)
+            key = f'quarantine/{quarantine.entries[0].key}'
+            await wait_until(lambda: key in topic.newest)
+            site.store.restore(1)
+            assert key not in topic.newest
+            await wait_until(lambda: key in topic.newest)
+
+    asyncio.run(scenario())
+
+
+# Guards against a withdrawn prompt that comes back with the store.
+def test_withdrawn_prompt_is_removed_from_the_store_again():
+    async def scenario():
+        async with run_site() as site:
+            quarantine = site.gateways['g1'].context.services.broker.quarantine
+            topic = site.store.topics[INSTANCES]
+            quarantine.add(('deadly',), 0.0)
+            key = f'quarantine/{quarantine.entries[0].key}'
+            await wait_until(lambda: key in topic.newest)
+            quarantine.note_served(('deadly',), 0.0)
+            await wait_until(lambda: key not in topic.newest)
+            site.store.restore(1)
+            assert key in topic.newest
+            await wait_until(lambda: key not in topic.newest)
+            assert not quarantine.list_parts()
+
+    asyncio.run(scenario())
