Read a restored log anew and write back what it has lost

What callers of the own interface could see: every request with an idempotency key refused until the offsets had caught up (claims were never read back), and new settings that were not in force; then a fold of records of two histories. An instance started later had older settings, and ran an order once more whose claim was lost. Ruled out: giving up the state and following the restored log; confirmed settings would come back older and claimed orders run twice. Change: the log states an era, and 410 beyond its end; a log without eras is noticed by its end. The stream is read anew beside the state in force. Of settings, the teams whose version the log lacks are written back as one record (the higher version of each team holds); of claims, those of the own instance at once, those of others within two seconds. Appends name the era on which they are based, so that none lands in a later one. A new instance wins no claim in the first three seconds of a log that was ever restored. Peers do not exchange offsets of different eras. The stand-ins come back from an older copy.

--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -18,6 +18,7 @@
     Settlement,
     decode_batch,
 )
+from anvilhall.core.positions import Position
 from anvilhall.exceptions import (
     AlreadyRun,
     AppendUncertain,
@@ -26,15 +27,22 @@
     KeyReused,
     LogUnavailable,
     StillRunning,
+    StoreRestored,
 )
 from anvilhall.following import StreamReader, follow_stream
 from anvilhall.jobs import Job
 from anvilhall.local import Timings
+from anvilhall.logs import log_event
 from anvilhall.logservice import LogClient, Page
 from anvilhall.metrics import Metrics
 
 #: Seconds before a failed append is retried.
 _RETRY_S = 0.1
+#: Seconds after a restore of the log within which instances write back the
+#: claims that it has lost, and upper limit of the seconds until an instance
+#: writes those of others.
+_RECOVERY_S = 3.0
+_RECOVERY_SPREAD_S = 2.0
 #: Bits of a claim's random identifier.
 _ID_BITS = 128
 
@@ -49,12 +57,16 @@
         '_clock',
         '_instance',
         '_log',
+        '_lost',
+        '_lost_due_at',
         '_metrics',
         '_page_folded',
+        '_reread',
         '_rng',
         '_running',
         '_settlements',
         '_timings',
+        '_trusted_at',
         '_unconfirmed',
         '_write_wanted',
         'ledger',
@@ -78,6 +90,15 @@
         self._timings = timings
         self._metrics = metrics
         self.ledger = ledger
+        #: Ledger of a restored log, until it has been read to its end.
+        self._reread: Ledger | None = None
+        #: Claims that the log has lost, by identifier, until read back.
+        self._lost: dict[str, Entry] = {}
+        #: Monotonic time from which claims of other instances are written back.
+        self._lost_due_at = 0.0
+        #: Monotonic time from which the ledger has all claims that others have
+        #: written back; before it, no claim of this instance is won.
+        self._trusted_at: float | None = None
         #: Claims of this instance that have not been read back from the log.
         self._unconfirmed: dict[str, Claim] = {}
         #: Settlements of this instance that have not been appended.
@@ -116,6 +137,9 @@
         :raises StillRunning: and the other errors of :meth:`check`.
         """
         self.check(job)
+        if not self._is_trusted():
+            self._count('unavailable')
+            raise ClaimUnavailable(retry_after_s=1.0)
         claim = Claim(
             id=f'{self._rng.getrandbits(_ID_BITS):x}',
             account=job.account,
@@ -196,7 +220,8 @@
             await self._write_wanted.wait()
             await asyncio.sleep(defaults.CLAIM_BATCH_S)
             self._write_wanted.clear()
-            if not self.all_written and not await self._append():
+            pending = not self.all_written or self._list_lost_due()
+            if pending and not await self._append():
                 self._write_wanted.set()
                 await asyncio.sleep(_RETRY_S)
 
@@ -207,13 +232,20 @@
         the lower offset counts.
         """
         settlements = tuple(self._settlements)
+        lost = self._list_lost_due()
         batch = LedgerBatch(
-            claims=tuple(self._unconfirmed.values()),
-            settlements=settlements,
+            claims=(
+                *(entry.claim for entry in lost),
+                *self._unconfirmed.values(),
+            ),
+            settlements=(*_list_settlements(lost), *settlements),
         )
+        era = self.ledger.era if self.ledger.era >= 0 else None
         try:
-            await self._log.append(CLAIMS_STREAM, msgspec.to_builtins(batch))
-        except (LogUnavailable, AppendUncertain) as error:
+            await self._log.append(
+                CLAIMS_STREAM, msgspec.to_builtins(batch), era
+            )
+        except (LogUnavailable, AppendUncertain, StoreRestored) as error:
             self._metrics.platform_failures.labels('log', error.code).inc()
             return False
         self._settlements = self._settlements[len(settlements) :]
@@ -222,26 +254,85 @@
     async def _follow(self) -> None:
         reader = StreamReader(
             CLAIMS_STREAM,
-            self._get_next_offset,
+            self._get_next_position,
             self._fold_page,
-            self.ledger.skip_to,
+            self._skip_to,
+            self._restart,
         )
         poll_s = self._timings.log_poll_s
         await follow_stream(reader, self._log, poll_s, self._metrics)
 
-    def _get_next_offset(self) -> int:
-        return self.ledger.covers + 1
+    @property
+    def _reading(self) -> Ledger:
+        """The ledger to which the records of the log are applied."""
+        return self.ledger if self._reread is None else self._reread
+
+    def _get_next_position(self) -> Position:
+        return self._reading.position
+
+    def _skip_to(self, start: int) -> None:
+        self._reading.skip_to(start)
+
+    def _restart(self, era: int) -> None:
+        self._reread = Ledger(self.ledger.window_s, era)
+
+    def _is_trusted(self) -> bool:
+        return (
+            self._trusted_at is None
+            or self._clock.monotonic() >= self._trusted_at
+        )
 
     async def _fold_page(self, page: Page) -> None:
         now = self._clock.monotonic()
+        if self.ledger.era < 0:
+            self._begin(page.era, now)
+        ledger = self._reading
         for record in page.records:
             batch = decode_batch(record.body)
-            self.ledger.fold(record.offset, batch, now)
+            ledger.fold(record.offset, batch, now)
             self._confirm(batch.claims if batch else ())
-        self.ledger.evict_expired(now)
-        async with self._page_folded:
-            self._page_folded.notify_all()
+        if ledger is not self.ledger and ledger.covers + 1 >= page.end:
+            self._finish_reread(ledger, now)
+        if self._reread is None:
+            self.ledger.evict_expired(now)
+            async with self._page_folded:
+                self._page_folded.notify_all()
+
+    def _begin(self, era: int, now: float) -> None:
+        self.ledger.era = era
+        if era > 0:
+            # The log may have been restored just before.
+            self._trusted_at = now + _RECOVERY_S
+
+    def _finish_reread(self, reread: Ledger, now: float) -> None:
+        lost = reread.adopt(self.ledger)
+        log_event('claims_lost', era=reread.era, count=len(lost))
+        self.ledger = reread
+        self._reread = None
+        self._lost = {entry.claim.id: entry for entry in lost}
+        self._lost_due_at = now + _RECOVERY_SPREAD_S * self._rng.random()
+        # Claims that were appended before the restore may be lost as well.
+        self._write_wanted.set()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_RECOVERY_SPREAD_S, self._write_wanted.set)
+
+    def _list_lost_due(self) -> list[Entry]:
+        """Return the lost claims to write back now: at first the own ones."""
+        due = self._clock.monotonic() >= self._lost_due_at
+        return [
+            entry
+            for entry in self._lost.values()
+            if due or entry.claim.instance == self._instance
+        ]
 
     def _confirm(self, claims: Iterable[Claim]) -> None:
         for claim in claims:
             self._unconfirmed.pop(claim.id, None)
+            self._lost.pop(claim.id, None)
+
+
+def _list_settlements(entries: Iterable[Entry]) -> Iterator[Settlement]:
+    for entry in entries:
+        if entry.state is KeyState.RAN:
+            claim = entry.claim
+            yield Settlement(claim.id, claim.account, claim.key, ran=True)
--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -336,7 +336,9 @@
             node,
             version if based_on is None else based_on,
         )
-        reports.append(await publish_team(log, publication, timeout_s))
+        reports.append(
+            await publish_team(log, publication, timeout_s, history.state.era),
+        )
     return reports
 
 
--- a/src/anvilhall/core/ledger.py
+++ b/src/anvilhall/core/ledger.py
@@ -3,6 +3,9 @@
 A keyed request runs once: its instance claims the key in the log before the
 request is sent, and the claim with the lowest offset wins. All instances fold
 the same records with the same function, so they agree on the winner.
+
+A log that comes back from an older copy has lost claims. An instance keeps
+those that it knows, and writes back what is missing.
 """
 
 import collections
@@ -10,6 +13,8 @@
 
 import msgspec
 
+from anvilhall.core.positions import Position
+
 #: Stream of the log that holds claims.
 CLAIMS_STREAM = 'claims'
 
@@ -76,11 +81,15 @@
     :param window_s: seconds for which a claim is kept after it was read.
     """
 
-    __slots__ = ('_entries', '_read_order', 'covers', 'window_s')
+    __slots__ = ('_entries', '_read_order', 'covers', 'era', 'window_s')
+
+    def __init__(self, window_s: float, era: int = -1) -> None:
+        """Start empty, before the first record.
 
-    def __init__(self, window_s: float) -> None:
-        """Start empty, before the first record."""
+        :param era: era of the log to which the offsets belong; -1: unknown.
+        """
         self.window_s = window_s
+        self.era = era
         #: Offset of the last folded record; -1: none.
         self.covers = -1
         self._entries: dict[tuple[str, str], Entry] = {}
@@ -115,6 +124,30 @@
         for settlement in batch.settlements:
             self._fold_settlement(settlement)
 
+    @property
+    def position(self) -> Position:
+        """Position of the record to fold next."""
+        return Position(self.era, self.covers + 1)
+
+    def adopt(self, known: 'Ledger') -> list[Entry]:
+        """Take over the claims of the ledger of an earlier era.
+
+        They hold even if the restored log has others on the same keys, because
+        their requests may have run.
+
+        :return: the claims that the log lacks, or whose end it lacks.
+        """
+        lost: list[Entry] = []
+        for account_key, entry in known._entries.items():
+            listed = self._entries.get(account_key)
+            if listed and _is_at_least(listed, entry):
+                continue
+            lost.append(entry)
+            self._entries[account_key] = entry
+            self._read_order.append((entry.read_at, account_key))
+        self._read_order = collections.deque(sorted(self._read_order))
+        return lost
+
     def skip_to(self, start: int) -> None:
         """Continue at an offset because the log has lost the records before.
 
@@ -151,6 +184,13 @@
             self._entries.pop(account_key)
 
 
+def _is_at_least(listed: Entry, known: Entry) -> bool:
+    """Return whether the log has all that is known of a claim."""
+    return listed.claim.id == known.claim.id and (
+        listed.state is KeyState.RAN or known.state is listed.state
+    )
+
+
 def decode_batch(raw: object) -> LedgerBatch | None:
     """Decode one record of the claims stream; ``None`` if it is invalid."""
     try:
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -188,6 +188,8 @@
     incarnation: int
     #: Offset up to which the sender has applied settings records.
     settings_covers: int
+    #: Era of the log to which that offset belongs.
+    settings_era: int = 0
 
 
 class News(_Message, frozen=True):
@@ -262,6 +264,8 @@
     """Requests a peer's settings if they are newer than an offset."""
 
     covers: int
+    #: Era of the log to which that offset belongs.
+    era: int = 0
 
 
 class SettingsRecords(_Message, frozen=True):
@@ -270,6 +274,8 @@
     #: Offset of the first record.
     offset: int
     records: tuple[bytes, ...]
+    #: Era of the log to which that offset belongs.
+    era: int = 0
 
 
 class SettingsOffer(_Message, frozen=True):
--- a/src/anvilhall/core/publication.py
+++ b/src/anvilhall/core/publication.py
@@ -2,12 +2,17 @@
 
 Every instance applies the same records in offset order, so that all instances
 accept the same one of two concurrent publications.
+
+A log that comes back from an older copy has lost accepted publications and
+gives their offsets out again. Its records are then applied anew from the first
+one, and instances that still know the lost settings write them back.
 """
 
 from typing import Any
 
 import msgspec
 
+from anvilhall.core.positions import Position
 from anvilhall.core.settings import SettingsFaulty, TeamNode, decode_node
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import VersionConflict
@@ -49,13 +54,22 @@
     #: Offset of the last accepted publication.
     version: int
     teams: dict[str, TeamState]
+    #: Era of the log to which these offsets belong.
+    era: int = 0
+
+
+class Recovery(msgspec.Struct, frozen=True, kw_only=True, tag='recovery'):
+    """Accepted settings that the log has lost, written back by an instance."""
+
+    #: Of each team, the higher version holds; of equal ones, the log's own.
+    teams: dict[str, TeamState]
 
 
 class UnreadableRecord(msgspec.Struct, frozen=True):
     """A record that this version can't decode; it is ignored."""
 
 
-SettingsRecord = Publication | Snapshot | UnreadableRecord
+SettingsRecord = Publication | Snapshot | Recovery | UnreadableRecord
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,10 +98,26 @@
     last accepted publication and never decreases.
     """
 
-    __slots__ = ('_buffered', '_start', 'covers', 'teams', 'tree', 'version')
-
-    def __init__(self) -> None:
-        """Create the state before the first record."""
+    __slots__ = (
+        '_buffered',
+        '_start',
+        'covers',
+        'era',
+        'recovery_fault',
+        'teams',
+        'tree',
+        'version',
+    )
+
+    def __init__(self, era: int = -1) -> None:
+        """Create the state before the first record.
+
+        :param era: era of the log to which the offsets belong; -1: unknown.
+        """
+        self.era = era
+        #: Reason why settings that were written back are invalid together with
+        #: those of the log; empty: they are not.
+        self.recovery_fault = ''
         self.covers = -1
         self.version = -1
         self.teams: dict[str, TeamState] = {}
@@ -125,6 +155,22 @@
             offset += 1
         return offset
 
+    @property
+    def position(self) -> Position:
+        """Position of the record to read next."""
+        return Position(self.era, self.next_offset)
+
+    def list_lost(self, log_state: 'SettingsState') -> dict[str, TeamState]:
+        """Return the teams whose version is higher than in the log.
+
+        :param log_state: result of all records of the log.
+        """
+        return {
+            team: state
+            for team, state in self.teams.items()
+            if state.version > log_state.get_version(team)
+        }
+
     def skip_to(self, start: int) -> None:
         """Continue reading at an offset: earlier records are lost."""
         self._start = start
@@ -153,6 +199,7 @@
             covers=self.covers,
             version=self.version,
             teams=dict(self.teams),
+            era=max(0, self.era),
         )
 
     def _apply_buffered(self) -> list[Verdict]:
@@ -163,8 +210,27 @@
             self.covers = offset
             if isinstance(record, Publication):
                 verdicts.append(self._decide(offset, record))
+            elif isinstance(record, Recovery):
+                self._recover(offset, record)
         return verdicts
 
+    def _recover(self, offset: int, recovery: Recovery) -> None:
+        newer = {
+            team: state
+            for team, state in recovery.teams.items()
+            if state.version > self.get_version(team)
+        }
+        teams = {**self.teams, **newer}
+        try:
+            tree = _build_tree(teams)
+        except SettingsFaulty as faulty:
+            self.recovery_fault = faulty.reason
+            return
+        if newer:
+            self.teams = teams
+            self.tree = tree
+            self.version = offset
+
     def _decide(self, offset: int, publication: Publication) -> Verdict:
         try:
             self._update_team(offset, publication)
@@ -211,7 +277,7 @@
 def decode_record(raw: Any) -> SettingsRecord:
     """Decode one record of the settings stream."""
     try:
-        return msgspec.convert(raw, Publication | Snapshot)
+        return msgspec.convert(raw, Publication | Snapshot | Recovery)
     except msgspec.ValidationError:
         return UnreadableRecord()
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -26,6 +26,7 @@
     Refusal,
     Release,
 )
+from anvilhall.core.positions import UNREAD, Position
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PeerUnreachable
 from anvilhall.links import SLOW_HEARTBEAT_FACTOR, LinkCallbacks, Links, LinkSet
@@ -69,7 +70,7 @@
         '_stale',
         '_tree',
         'broker',
-        'get_settings_offset',
+        'get_settings_position',
         'on_work',
         'quarantine',
     )
@@ -105,8 +106,8 @@
         self._stale = False
         self._handlers: dict[type[Message], Handler] = {}
         self._peer_regions = _PeerRegions(config.region)
-        #: Returns the offset of the last settings record applied, or -1.
-        self.get_settings_offset: Callable[[], int] = _get_no_offset
+        #: Returns the position of the last settings record applied.
+        self.get_settings_position: Callable[[], Position] = _get_no_position
         self._directory = Directory(config.instance, config.region)
         self._membership = Membership(
             config.instance,
@@ -396,9 +397,11 @@
         self._links.set_peers(addresses)
 
     def _build_heartbeat(self) -> Heartbeat:
+        position = self.get_settings_position()
         return Heartbeat(
             incarnation=self._membership.incarnation,
-            settings_covers=self.get_settings_offset(),
+            settings_covers=position.offset,
+            settings_era=position.era,
         )
 
 
@@ -448,5 +451,5 @@
     """Do nothing."""
 
 
-def _get_no_offset() -> int:
-    return -1
+def _get_no_position() -> Position:
+    return UNREAD
--- a/src/anvilhall/follower.py
+++ b/src/anvilhall/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -15,10 +16,13 @@
     SettingsOffer,
     SettingsRecords,
 )
+from anvilhall.core.positions import Position
 from anvilhall.core.publication import (
     SETTINGS_STREAM,
+    Recovery,
     SettingsState,
     Snapshot,
+    TeamState,
     Verdict,
     decode_record,
 )
@@ -35,6 +39,9 @@
 _RECENT_RECORDS = 256
 #: Seconds to wait for the log to deliver a record before asking a peer for it.
 _LOG_GRACE_S = 0.2
+#: Upper limit of the seconds after which an instance writes back what a
+#: restored log has lost, so that few instances write the same.
+_RECOVERY_SPREAD_S = 1.0
 
 
 class SettingsFollower:
@@ -43,6 +50,10 @@
     Peers state in heartbeats the offset that they have reached. From a peer
     that stays ahead, missing records or a snapshot are requested.
 
+    When the log comes back from an older copy, the settings in force stay while
+    it is read anew. What it has lost is written back; its state comes into
+    force once it has no older version of any team.
+
     :param log: client of the log that holds the settings stream.
     :param fleet: sends and receives settings messages.
     """
@@ -54,8 +65,12 @@
         '_metrics',
         '_on_change',
         '_recent',
+        '_recovery_due_at',
+        '_reread',
+        '_rng',
         '_snapshot_due_at',
         '_timings',
+        '_written_back_at',
         'state',
     )
 
@@ -66,17 +81,28 @@
         clock: Clock,
         timings: Timings,
         metrics: Metrics,
+        rng: random.Random,
     ) -> None:
-        """Start without settings."""
+        """Start without settings.
+
+        :param rng: spreads the writes of instances after a restore.
+        """
         self._log = log
         self._fleet = fleet
         self._clock = clock
         self._timings = timings
         self._metrics = metrics
+        self._rng = rng
         self.state = SettingsState()
+        #: State of a restored log, until it comes into force.
+        self._reread: SettingsState | None = None
+        #: Monotonic time from which this instance may write back.
+        self._recovery_due_at = 0.0
+        #: Offset of the settings that this instance has written back; -1: none.
+        self._written_back_at = -1
         self._on_change: Callable[[], None] = _do_nothing
         self._snapshot_due_at = clock.monotonic() + timings.snapshot_interval_s
-        fleet.get_settings_offset = self._get_settings_offset
+        fleet.get_settings_position = self._get_settings_position
         fleet.add_handler(Heartbeat, self._handle_heartbeat)
         fleet.add_handler(SettingsAsk, self._handle_ask)
         fleet.add_handler(SettingsOffer, self._handle_offer)
@@ -99,19 +125,74 @@
         """Read the settings stream until cancelled."""
         reader = StreamReader(
             SETTINGS_STREAM,
-            self._get_next_offset,
+            self._get_next_position,
             self._handle_page,
-            self.state.skip_to,
+            self._skip_to,
+            self._restart,
         )
         poll_s = self._timings.log_poll_s
         await follow_stream(reader, self._log, poll_s, self._metrics)
 
     async def _handle_page(self, page: Page) -> None:
+        if self._reread:
+            await self._handle_reread_page(self._reread, page)
+            return
+        self.state.era = page.era
         self._apply_page(page)
         await self._write_snapshot()
 
-    def _get_next_offset(self) -> int:
-        return self.state.next_offset
+    async def _handle_reread_page(
+        self, reread: SettingsState, page: Page
+    ) -> None:
+        for record in page.records:
+            reread.fold(record.offset, decode_record(record.body))
+        if reread.next_offset < page.end:
+            return
+        lost = self.state.list_lost(reread)
+        if not lost or -1 < self._written_back_at <= reread.covers:
+            self._put_in_force(reread, lost)
+            return
+        pause_s = self._recovery_due_at - self._clock.monotonic()
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
+            # Another instance may have written back meanwhile.
+            later = await self._log.read(SETTINGS_STREAM, reread.next_offset, 0)
+            if later.era == reread.era:
+                await self._handle_reread_page(reread, later)
+        else:
+            recovery = msgspec.to_builtins(Recovery(teams=lost))
+            self._written_back_at = await self._log.append(
+                SETTINGS_STREAM, recovery, reread.era
+            )
+
+    def _put_in_force(
+        self, reread: SettingsState, lost: dict[str, TeamState]
+    ) -> None:
+        for team, team_state in sorted(lost.items()):
+            log_event(
+                'settings_lost',
+                team=team,
+                version=team_state.version,
+                reason=reread.recovery_fault,
+            )
+        self.state = reread
+        self._reread = None
+        self._recent.clear()
+        self._metrics.settings_version.set(reread.version)
+        log_event('settings_in_force', version=reread.version, era=reread.era)
+        self._on_change()
+
+    def _restart(self, era: int) -> None:
+        self._reread = SettingsState(era)
+        self._written_back_at = -1
+        spread_s = _RECOVERY_SPREAD_S * self._rng.random()
+        self._recovery_due_at = self._clock.monotonic() + spread_s
+
+    def _skip_to(self, start: int) -> None:
+        (self._reread or self.state).skip_to(start)
+
+    def _get_next_position(self) -> Position:
+        return (self._reread or self.state).position
 
     def _apply_page(self, page: Page) -> None:
         version_before = self.state.version
@@ -142,14 +223,20 @@
             return
         self._snapshot_due_at = now + self._timings.snapshot_interval_s
         snapshot = msgspec.to_builtins(self.state.take_snapshot())
-        await self._log.append(SETTINGS_STREAM, snapshot)
+        await self._log.append(SETTINGS_STREAM, snapshot, self.state.era)
 
-    def _get_settings_offset(self) -> int:
-        return self.state.covers
+    def _get_settings_position(self) -> Position:
+        return Position(max(0, self.state.era), self.state.covers)
+
+    def _shares_era(self, era: int) -> bool:
+        """Return whether a peer's offsets are of the era of the own ones."""
+        return self.state.era in {-1, era}
 
     def _handle_heartbeat(self, sender: str, message: Message) -> None:
         if not isinstance(message, Heartbeat):
             return
+        if not self._shares_era(message.settings_era):
+            return
         if message.settings_covers > self.state.covers:
             loop = asyncio.get_running_loop()
             loop.call_later(
@@ -163,11 +250,15 @@
         if covers <= self.state.covers:
             return
         with contextlib.suppress(PeerUnreachable):
-            self._fleet.send(peer, SettingsAsk(self.state.covers))
+            covered = self._get_settings_position()
+            self._fleet.send(peer, SettingsAsk(covered.offset, covered.era))
 
     def _handle_ask(self, sender: str, message: Message) -> None:
         if not isinstance(message, SettingsAsk) or not self.ready:
             return
+        # A peer that has read nothing may not know the era yet.
+        if message.covers >= 0 and not self._shares_era(message.era):
+            return
         if message.covers < self.state.covers:
             self._fleet.send(sender, self._build_answer(message.covers))
 
@@ -180,12 +271,16 @@
         return SettingsRecords(
             offset=covers + 1,
             records=tuple(bodies),
+            era=max(0, self.state.era),
         )
 
     def _handle_records(self, _: str, message: Message) -> None:
         if not isinstance(message, SettingsRecords):
             return
+        if not self._shares_era(message.era):
+            return
         version_before = self.state.version
+        self.state.era = message.era
         for index, encoded in enumerate(message.records):
             body = msgspec.json.decode(encoded)
             self._apply_record(Record(message.offset + index, body))
@@ -196,7 +291,10 @@
             return
         version_before = self.state.version
         snapshot = msgspec.json.decode(message.snapshot, type=Snapshot)
+        if not self._shares_era(snapshot.era):
+            return
         if self.state.restore(snapshot):
+            self.state.era = snapshot.era
             self._notify_change(version_before)
 
     def _build_offer(self) -> SettingsOffer:
--- a/src/anvilhall/following.py
+++ b/src/anvilhall/following.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from anvilhall.exceptions import PlatformError, RecordsExpired
+from anvilhall.core.positions import Position
+from anvilhall.exceptions import LogUnavailable, PlatformError, RecordsExpired
+from anvilhall.logs import log_event
 from anvilhall.logservice import LogClient, Page
 from anvilhall.metrics import Metrics
 
@@ -14,26 +16,31 @@
 class StreamReader:
     """The callbacks with which a stream is read.
 
-    :param next_offset: returns the offset to read next.
+    :param get_position: returns the position to read next; its era is negative
+        before the first page.
     :param handle_page: processes the records of one page.
     :param skip_to: continues at the oldest retained offset, if the next one
         has expired.
+    :param restart: continues before the first record of an era, because the
+        log has come back from an older copy.
     """
 
-    __slots__ = ('handle_page', 'next_offset', 'skip_to', 'stream')
+    __slots__ = ('get_position', 'handle_page', 'restart', 'skip_to', 'stream')
 
     def __init__(
         self,
         stream: str,
-        next_offset: Callable[[], int],
+        get_position: Callable[[], Position],
         handle_page: Callable[[Page], Awaitable[None]],
         skip_to: Callable[[int], None],
+        restart: Callable[[int], None],
     ) -> None:
         """Store the callbacks."""
         self.stream = stream
-        self.next_offset = next_offset
+        self.get_position = get_position
         self.handle_page = handle_page
         self.skip_to = skip_to
+        self.restart = restart
 
 
 async def follow_stream(
@@ -46,22 +53,57 @@
 
     :param poll_s: longest time that one read waits for a record, in seconds.
     """
+    wait_s = poll_s
     while True:
         try:
-            await _read_once(reader, log, poll_s)
+            moved = await _read_once(reader, log, wait_s)
         except PlatformError as error:
             metrics.platform_failures.labels('log', error.code).inc()
             await asyncio.sleep(_RETRY_S)
+        else:
+            wait_s = 0 if moved else poll_s
 
 
 async def _read_once(
     reader: StreamReader,
     log: LogClient,
-    poll_s: float,
-) -> None:
+    wait_s: float,
+) -> bool:
+    """Read one page; return whether the position was moved instead."""
+    position = reader.get_position()
     try:
-        page = await log.read(reader.stream, reader.next_offset(), poll_s)
+        page = await log.read(reader.stream, position.offset, wait_s)
     except RecordsExpired:
-        reader.skip_to(await log.find_oldest_offset(reader.stream))
-        return
+        await _skip(reader, log, position)
+        return True
+    if page.era < position.era:
+        raise LogUnavailable(
+            f'answer of era {page.era} after one of era {position.era}',
+        )
+    # A log that does not state eras goes back to a lower end.
+    if 0 <= position.era < page.era or page.end < position.offset:
+        _restart(reader, position, page.era)
+        return True
     await reader.handle_page(page)
+    return False
+
+
+async def _skip(
+    reader: StreamReader, log: LogClient, position: Position
+) -> None:
+    start = await log.find_start(reader.stream)
+    if start.offset > position.offset and start.era <= max(0, position.era):
+        reader.skip_to(start.offset)
+    else:
+        _restart(reader, position, start.era)
+
+
+def _restart(reader: StreamReader, position: Position, era: int) -> None:
+    log_event(
+        'log_restored',
+        stream=reader.stream,
+        offset=position.offset,
+        era=era,
+        before=position.era,
+    )
+    reader.restart(era)
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -19,6 +19,7 @@
     SettingsOffer,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
+from anvilhall.core.positions import Position
 from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
@@ -169,7 +170,7 @@
         self._server = RelayServer(self.context, RequestLimits())
         self._operators: HTTPServer | None = None
         self._tasks = TaskSet(self.metrics)
-        self._fleet.get_settings_offset = self._get_version
+        self._fleet.get_settings_position = self._get_settings_position
         self._fleet.add_handler(Heartbeat, self._handle_heartbeat)
         self._fleet.add_handler(SettingsAsk, self._handle_settings_ask)
         self._fleet.add_handler(SettingsOffer, self._handle_settings_offer)
@@ -286,8 +287,9 @@
     def _get_settings(self) -> RoutingSettings | None:
         return self._settings_feed.settings
 
-    def _get_version(self) -> int:
-        return self._settings_feed.version
+    def _get_settings_position(self) -> Position:
+        # The operator's versions order the settings in all eras of the store.
+        return Position(0, self._settings_feed.version)
 
     def _reads_registry(self) -> bool:
         return self._fleet.reads_registry
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -130,6 +130,7 @@
             clock,
             config.timings,
             self.metrics,
+            dependencies.rng,
         )
         self._follower.set_listener(self._apply_settings)
         self._claims = ClaimManager(
--- a/src/anvilhall/logservice.py
+++ b/src/anvilhall/logservice.py
@@ -5,10 +5,12 @@
 
 import msgspec
 
+from anvilhall.core.positions import Position
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
     UpstreamCut,
     UpstreamRefused,
     UpstreamStalled,
@@ -19,6 +21,7 @@
 #: Timeout of a call in seconds, beyond the wait of a long poll.
 _CALL_TIMEOUT_S = 2.0
 _HTTP_OK = 200
+_HTTP_CONFLICT = 409
 _HTTP_GONE = 410
 _Decoded = TypeVar('_Decoded')
 
@@ -36,18 +39,25 @@
     records: tuple[Record, ...]
     #: Offset after the last record of the stream.
     end: int
+    #: Rises each time that the log comes back from an older copy.
+    era: int = 0
 
 
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
+    era: int = 0
 
 
 class LogClient(Protocol):
     """Appends to and reads from the log; any client must provide this."""
 
-    async def append(self, stream: str, body: Any) -> int:
+    async def append(
+        self, stream: str, body: Any, era: int | None = None
+    ) -> int:
         """Append a record and return its offset.
 
+        :param era: only era of the log in which to append; ``None``: any.
+        :raises StoreRestored: if the log is in another era.
         :raises LogUnavailable: if nothing was written.
         :raises AppendUncertain: if the record may have been written.
         """
@@ -60,8 +70,8 @@
         :raises LogUnavailable: if the service gives no usable answer.
         """
 
-    async def find_oldest_offset(self, stream: str) -> int:
-        """Return the oldest retained offset.
+    async def find_start(self, stream: str) -> Position:
+        """Return the position of the oldest retained record.
 
         :raises LogUnavailable: if the service gives no usable answer.
         """
@@ -81,10 +91,13 @@
         self._base_url = base_url
         self._outbound = outbound
 
-    async def append(self, stream: str, body: Any) -> int:
+    async def append(
+        self, stream: str, body: Any, era: int | None = None
+    ) -> int:
         """Append a record and return its offset."""
+        query = '' if era is None else f'?era={era}'
         call = Call(
-            url=self._build_url(stream),
+            url=f'{self._build_url(stream)}{query}',
             method='POST',
             headers={'Content-Type': 'application/json'},
             body=msgspec.json.encode(body),
@@ -96,6 +109,8 @@
             raise LogUnavailable(error.reason) from error
         except (UpstreamCut, UpstreamStalled) as error:
             raise AppendUncertain(error.reason) from error
+        if reply.status == _HTTP_CONFLICT:
+            raise StoreRestored(f'log is not in era {era}')
         if reply.status != _HTTP_OK:
             raise LogUnavailable(
                 f'log append answered with status {reply.status}',
@@ -113,10 +128,11 @@
             )
         return _decode(reply, Page)
 
-    async def find_oldest_offset(self, stream: str) -> int:
-        """Return the oldest retained offset."""
+    async def find_start(self, stream: str) -> Position:
+        """Return the position of the oldest retained record."""
         url = f'{self._build_url(stream)}/start'
-        return _decode(await self._get(url, _CALL_TIMEOUT_S), _Appended).offset
+        start = _decode(await self._get(url, _CALL_TIMEOUT_S), _Appended)
+        return Position(start.era, start.offset)
 
     def _build_url(self, stream: str) -> str:
         return f'{self._base_url}/streams/{stream}'
--- a/src/anvilhall/publishing.py
+++ b/src/anvilhall/publishing.py
@@ -23,8 +23,9 @@
     AppendUncertain,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
 )
-from anvilhall.logservice import LogClient
+from anvilhall.logservice import LogClient, Page
 
 #: Seconds between searches of the log for an appended publication.
 _POLL_S = 0.2
@@ -62,12 +63,25 @@
     :param publications: publications that the log retains, with verdicts.
     """
 
-    __slots__ = ('publications', 'state')
+    __slots__ = ('_known', 'publications', 'state')
 
     def __init__(self) -> None:
         """Start before the first record."""
         self.state = SettingsState()
         self.publications: list[tuple[Publication, Verdict]] = []
+        #: Publications by offset.
+        self._known: dict[int, Publication] = {}
+
+    def fold(self, page: Page) -> None:
+        """Apply the records of a page."""
+        self.state.era = page.era
+        for record in page.records:
+            parsed = decode_record(record.body)
+            if isinstance(parsed, Publication):
+                self._known[record.offset] = parsed
+            for verdict in self.state.fold(record.offset, parsed):
+                entry = (self._known[verdict.offset], verdict)
+                self.publications.append(entry)
 
     def find(self, publication_id: str) -> Verdict | None:
         """Return the verdict on a publication; ``None`` if not in the log."""
@@ -83,21 +97,20 @@
     :raises LogUnavailable: if the log does not answer.
     """
     history = SettingsHistory()
-    known: dict[int, Publication] = {}
     while True:
         offset = history.state.next_offset
         try:
             page = await log.read(SETTINGS_STREAM, offset, 0)
         except RecordsExpired:
-            history.state.skip_to(await log.find_oldest_offset(SETTINGS_STREAM))
+            start = await log.find_start(SETTINGS_STREAM)
+            if start.offset <= offset:
+                # The log was restored between two pages.
+                return await read_settings(log)
+            history.state.skip_to(start.offset)
             continue
-        for record in page.records:
-            parsed = decode_record(record.body)
-            if isinstance(parsed, Publication):
-                known[record.offset] = parsed
-            for verdict in history.state.fold(record.offset, parsed):
-                entry = (known[verdict.offset], verdict)
-                history.publications.append(entry)
+        if history.state.era not in {-1, page.era}:
+            return await read_settings(log)
+        history.fold(page)
         if history.state.next_offset >= page.end:
             return history
 
@@ -144,14 +157,17 @@
     log: LogClient,
     publication: Publication,
     timeout_s: float,
+    era: int | None = None,
 ) -> PublishReport:
     """Append a publication and search the log for its verdict.
 
     :param timeout_s: seconds after the append in which to search.
+    :param era: era of the log that the publication is based on; ``None``: any.
     """
+    body = msgspec.to_builtins(publication)
     try:
-        await log.append(SETTINGS_STREAM, msgspec.to_builtins(publication))
-    except LogUnavailable as error:
+        await log.append(SETTINGS_STREAM, body, era)
+    except (LogUnavailable, StoreRestored) as error:
         return PublishReport(
             publication.team,
             PublishOutcome.NOT_WRITTEN,
--- a/src/anvilhall_standins/logserver.py
+++ b/src/anvilhall_standins/logserver.py
@@ -2,7 +2,8 @@
 
 Faults: ``outage`` answers all requests with 503; ``slow`` delays all requests
 by its amount in seconds; ``lose_answer`` closes the connection after the append
-took effect, for as many appends as its amount.
+took effect, for as many appends as its amount. A POST to ``/restore`` has the
+log come back from an older copy.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 )
 
 _UNAVAILABLE = 503
+_CONFLICT = 409
 _GONE = 410
 #: Most records returned by one read.
 _PAGE_SIZE = 500
@@ -57,6 +59,12 @@
         self.arrived = asyncio.Event()
         return self.end - 1
 
+    def restore(self, lost: int) -> None:
+        """Drop the newest records; their offsets are given out again."""
+        self.records = self.records[: max(0, len(self.records) - lost)]
+        self.arrived.set()
+        self.arrived = asyncio.Event()
+
     def read(self, offset: int) -> list[dict[str, Any]]:
         """Return one page of records, starting at an offset."""
         first = offset - self.start
@@ -70,7 +78,7 @@
 class Store:
     """All streams, their retention limit and the number of appends."""
 
-    __slots__ = ('appends', 'faults', 'keep', 'streams')
+    __slots__ = ('appends', 'era', 'faults', 'keep', 'streams')
 
     def __init__(self, keep: int) -> None:
         """Create a store without streams.
@@ -79,6 +87,8 @@
         """
         self.keep = keep
         self.appends = 0
+        #: Stated in answers; rises with each restore.
+        self.era = 0
         self.faults = Faults()
         self.streams: dict[str, Stream] = {}
 
@@ -86,6 +96,12 @@
         """Return a stream; the first call creates it."""
         return self.streams.setdefault(name, Stream())
 
+    def restore(self, lost: int) -> None:
+        """Come back from a copy without the newest records of each stream."""
+        self.era += 1
+        for stream in self.streams.values():
+            stream.restore(lost)
+
 
 class _StoreHandler(RequestHandler):
     def initialize(self, store: Store) -> None:
@@ -110,17 +126,30 @@
         """
         offset = int(self.get_argument('from'))
         stream = self._store.get_stream(name)
-        if offset < stream.start:
+        if offset == stream.end:
+            await self._wait_for_record(stream)
+        if not stream.start <= offset <= stream.end:
             self.set_status(_GONE)
             self.finish()
             return
-        if offset >= stream.end:
-            await self._wait_for_record(stream)
-        page = {'records': stream.read(offset), 'end': stream.end}
+        page = {
+            'records': stream.read(offset),
+            'end': stream.end,
+            'era': self._store.era,
+        }
         write_json(self, page)
 
     def post(self, name: str) -> None:
-        """Append the record in the request body."""
+        """Append the record in the request body.
+
+        With another era in the argument ``era``, nothing is appended.
+        """
+        if int(self.get_argument('era', str(self._store.era))) != (
+            self._store.era
+        ):
+            self.set_status(_CONFLICT)
+            self.finish()
+            return
         record = msgspec.json.decode(self.request.body)
         stream = self._store.get_stream(name)
         offset = stream.append(record, self._store.keep)
@@ -143,7 +172,17 @@
 
     def get(self, name: str) -> None:
         """Return the offset."""
-        write_json(self, {'offset': self._store.get_stream(name).start})
+        start = self._store.get_stream(name).start
+        write_json(self, {'offset': start, 'era': self._store.era})
+
+
+class RestoreHandler(_StoreHandler):
+    """Restores the log from an older copy."""
+
+    def post(self) -> None:
+        """Drop the newest ``lost`` records of each stream."""
+        self._store.restore(int(self.get_argument('lost')))
+        write_json(self, {'era': self._store.era})
 
 
 class AppendCountHandler(_StoreHandler):
@@ -162,6 +201,7 @@
             ('/streams/([^/]+)', StreamHandler, arguments),
             ('/streams/([^/]+)/start', StartHandler, arguments),
             ('/appends', AppendCountHandler, arguments),
+            ('/restore', RestoreHandler, arguments),
             ('/fault', FaultHandler, {'faults': store.faults}),
         ],
         log_function=suppress_access_log,
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -23,12 +23,14 @@
     decode_message,
     encode_message,
 )
+from anvilhall.core.positions import Position
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
     PeerUnreachable,
     PlatformError,
     RecordsExpired,
+    StoreRestored,
     UpstreamCut,
     UpstreamRefused,
     UpstreamStalled,
@@ -286,6 +288,7 @@
         '_cut_instances',
         '_rng',
         'appends',
+        'era',
         'late_append_s',
         'lost_response_share',
         'starts',
@@ -300,6 +303,8 @@
         #: Offset of the oldest retained record, by stream.
         self.starts: dict[str, int] = {}
         self.unavailable = False
+        #: Rises with each restore.
+        self.era = 0
         #: Share of appends whose response is lost.
         self.lost_response_share = 0.0
         #: Delay in seconds until an append with a lost response takes effect.
@@ -317,6 +322,16 @@
         self._appended = asyncio.Event()
         return len(records) - 1
 
+    def restore(self, lost: int) -> None:
+        """Come back from a copy without the newest records of each stream."""
+        self.era += 1
+        self.streams = {
+            name: records[: max(0, len(records) - lost)]
+            for name, records in self.streams.items()
+        }
+        self._appended.set()
+        self._appended = asyncio.Event()
+
     def connect(self, name: str) -> 'SimLogClient':
         """Create the client of one instance."""
         return SimLogClient(self, name)
@@ -354,19 +369,24 @@
         self._log = log
         self._name = name
 
-    async def append(self, stream: str, body: Any) -> int:
+    async def append(
+        self, stream: str, body: Any, era: int | None = None
+    ) -> int:
         """Append a record and return its offset.
 
+        :raises StoreRestored: if the log is in another era than ``era``.
         :raises AppendUncertain: if the response is lost; the record is appended
             ``SimLog.late_append_s`` later.
         :raises LogUnavailable: if the log does not answer the instance.
         """
         await asyncio.sleep(CALL_DELAY_S)
         self._check_reachable()
+        if era not in {None, self._log.era}:
+            raise StoreRestored(f'the log is not in era {era}')
         if self._log.draw_response_loss():
             loop = asyncio.get_running_loop()
             loop.call_later(
-                self._log.late_append_s, self._log.put, stream, body
+                self._log.late_append_s, self._put_late, stream, body, era
             )
             await asyncio.sleep(_LOG_TIMEOUT_S)
             raise AppendUncertain(
@@ -386,24 +406,28 @@
         """
         await asyncio.sleep(CALL_DELAY_S)
         self._check_reachable()
-        if len(self._log.streams.get(stream, ())) <= offset:
+        if len(self._log.streams.get(stream, ())) == offset:
             await self._log.wait_for_append(wait_s)
         await asyncio.sleep(CALL_DELAY_S)
         self._check_reachable()
-        if offset < self._log.starts.get(stream, 0):
-            raise RecordsExpired
         bodies = self._log.streams.get(stream, [])
+        if not self._log.starts.get(stream, 0) <= offset <= len(bodies):
+            raise RecordsExpired
         records = [
             Record(offset=offset + index, body=body)
             for index, body in enumerate(bodies[offset:])
         ]
-        return Page(records=tuple(records), end=len(bodies))
+        return Page(records=tuple(records), end=len(bodies), era=self._log.era)
 
-    async def find_oldest_offset(self, stream: str) -> int:
-        """Return the offset of the oldest retained record."""
+    async def find_start(self, stream: str) -> Position:
+        """Return the position of the oldest retained record."""
         await asyncio.sleep(CALL_DELAY_S)
         self._check_reachable()
-        return self._log.starts.get(stream, 0)
+        return Position(self._log.era, self._log.starts.get(stream, 0))
+
+    def _put_late(self, stream: str, body: Any, era: int | None) -> None:
+        if era in {None, self._log.era}:
+            self._log.put(stream, body)
 
     def _check_reachable(self) -> None:
         if not self._log.is_reachable(self._name):
