Believe no refusal that may be a copy of an earlier one

What callers saw: 'not run, try again' for a request that a runner had run or was running (REFUSED), and a second run of it (TWICE). Cause: a faulty runner may write an earlier refusal once more on a kept connection. A refusal without the identifier of the request was believed, and so was one with the identifier when the relay had sent the same request to the same runner again on the kept connection. Change: an error response without the identifier counts only on a connection that was opened for it; a request that is sent to a runner again uses a new connection. The stand-in repeats refusals. Evidence: with the stand-in, 23 of 32 cases of the new test (four statuses, with and without the identifier, four kinds of request) fail on the code before, all with a run that was denied; all pass now.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -93,6 +93,7 @@
         '_last_progress_at',
         '_listener',
         '_problem',
+        '_repeated',
         '_requests_per_s',
         '_response_head',
         '_services',
@@ -111,8 +112,14 @@
         job: RelayJob,
         grant: Grant,
         services: RelayServices,
+        *,
+        repeated: bool = False,
     ) -> None:
-        """Create the attempt; :meth:`run` sends the request."""
+        """Create the attempt; :meth:`run` sends the request.
+
+        :param repeated: whether the request was sent to this runner before.
+        """
+        self._repeated = repeated
         self._listener = listener
         self._job = job
         self._services = services
@@ -205,6 +212,8 @@
             body=job.request.body,
             connect_timeout_s=min(left_s, job.pool.connect_timeout_s),
             idle_limit_s=_IDLE_LIMIT_S,
+            # A faulty runner may repeat its earlier answer to this request.
+            fresh=self._repeated,
         )
 
     def _handle_head(self, status: int, headers: HTTPHeaders) -> None:
@@ -234,11 +243,16 @@
     ) -> AnvilhallError | None:
         """Return the failure if a response does not belong to this request.
 
-        A response with an error status may lack the request identifier.
+        A response with an error status may lack the request identifier, but on
+        a reused connection it may then be a copy of an earlier response.
         """
         if request_id == self._job.request_id:
             return None
-        if not request_id and status >= HTTPStatus.BAD_REQUEST:
+        if (
+            not request_id
+            and status >= HTTPStatus.BAD_REQUEST
+            and self.transfer.connected
+        ):
             return None
         return UpstreamGarbled(
             'the response does not carry the identifier of this request'
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -9,7 +9,7 @@
 import pycurl
 from tornado.httputil import HTTPHeaders
 
-from anvilhall.curl import CurlDriver
+from anvilhall.curl import CurlDriver, set_socket_options
 from anvilhall.exceptions import (
     UpstreamCut,
     UpstreamRefused,
@@ -57,12 +57,15 @@
     it again if a reused connection is closed before a response arrives.
     """
 
-    __slots__ = ('_abort_future', '_aborted', 'sent')
+    __slots__ = ('_abort_future', '_aborted', 'connected', 'sent')
 
     def __init__(self) -> None:
         """Start with the request unsent."""
         #: Whether any byte of the request may have been sent.
         self.sent = False
+        #: Whether a new connection was opened, on which there can be no
+        #: response to an earlier request.
+        self.connected = False
         self._aborted = False
         self._abort_future: asyncio.Future[None] | None = None
 
@@ -301,10 +304,15 @@
         handle.setopt(pycurl.MAXAGE_CONN, call.idle_limit_s)
         if call.fresh:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._prepare_socket)
         handle.setopt(pycurl.PREREQFUNCTION, self._allow_send)
         handle.setopt(pycurl.HEADERFUNCTION, self._handle_header_line)
         handle.setopt(pycurl.WRITEFUNCTION, self._handle_chunk)
 
+    def _prepare_socket(self, descriptor: int, purpose: int) -> int:
+        self._transfer.connected = True
+        return set_socket_options(descriptor, purpose)
+
     def _allow_send(self, *_: object) -> int:
         if self._transfer.try_mark_sent():
             return int(pycurl.PREREQFUNC_OK)
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -130,8 +130,11 @@
             self._services.metrics.grant_wait.labels(job.pool_name).observe(
                 waited_s,
             )
+        repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
-        attempt = RelayAttempt(self, job, grant, self._services)
+        attempt = RelayAttempt(
+            self, job, grant, self._services, repeated=repeated
+        )
         try:
             await attempt.run(self._event_framer.last_id)
         except AnvilhallError as error:
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -10,8 +10,14 @@
 ``foreign``: respond with the identifier of another request.
 ``short``: close the connection before the end of the body.
 ``full``: respond with 503 and state that the request was not run.
+``full-N`` and ``anonymous-N``: the same with status N, and without the
+    identifier of the request.
+``stale``: run the request, but send the connection's last refusal once more;
+    without one, respond correctly.
 ``busy``: run the request and respond with 503, without that statement.
 ``error``: run the request and respond with 500.
+``status-N``: run the request and respond with status N.
+``close-N``: run the request and close after N bytes of the response.
 ``moved``: respond with 421, as a runner that replaced the expected one.
 ``early``: respond with 413 before the body was read.
 ``unframed``: send no length; the end of the connection ends the body.
@@ -49,6 +55,7 @@
 _NOT_RUN = 'Anvilhall-Not-Executed'
 _EXPECTED = 'Anvilhall-Expect-Instance'
 _RATE = 'Server-Limit'
+_CHUNKED = 'Transfer-Encoding: chunked'
 _STREAM_LINE = 'Content-Type: text/event-stream'
 _ERROR_STATUSES = {'busy': 503, 'error': 500}
 #: Bytes sent before a response is cut, as a share of the size of its head.
@@ -108,6 +115,8 @@
             'drip': self._drip,
             'unframed-stream': self._stream_unframed,
         }
+        #: Last refusal of the connections that sent one.
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -184,19 +193,27 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        kind, _, number = behaviour.partition('-')
         if behaviour == 'moved':
             self._respond(writer, request, 421, b'')
             return True
-        if behaviour == 'full':
-            self._respond(writer, request, 503, b'', ((_NOT_RUN, '1'),))
+        if kind in {'full', 'anonymous'}:
+            self._refuse(kind, int(number or '503'), request, writer)
             return True
         self.runs.append(request)
+        if kind == 'stale' and writer in self._refusals:
+            writer.write(self._refusals[writer])
+            return True
+        if kind == 'close':
+            writer.write(self.build_answer(request)[: int(number)])
+            behaviour = 'end'
         sent_share = _CUT_SHARES.get(behaviour)
         if sent_share:
             await self._send_part(sent_share, request, writer)
             behaviour = 'reset'
-        if behaviour == 'reset':
-            writer.transport.abort()
+        if behaviour in {'reset', 'end'}:
+            if behaviour == 'reset':
+                writer.transport.abort()
             return False
         if request.parts & self.traits.deadly_parts:
             await self._send_part(1.0, request, writer)
@@ -208,6 +225,36 @@
             return False
         return await self._send_response(behaviour, request, reader, writer)
 
+    def _refuse(
+        self,
+        kind: str,
+        status: int,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        refusal = self._build_response(
+            request, status, b'', ((_NOT_RUN, '1'),), '', 0
+        )
+        if kind == 'anonymous':
+            own_id = f'{REQUEST_ID}: {request.request_id}\r\n'
+            refusal = refusal.replace(own_id.encode(), b'')
+        self._refusals[writer] = refusal
+        writer.write(refusal)
+
+    def build_answer(self, request: ReceivedRequest) -> bytes:
+        """Return all bytes of the response to a request."""
+        if self.events:
+            numbers = range(request.first_event, self.events + 1)
+            chunks = b''.join(
+                b'%x\r\n%s\r\n' % (len(event), event)
+                for event in map(build_event, numbers)
+            )
+            head = self._build_head(request, _STREAM_LINE, _CHUNKED)
+            return b''.join((head, chunks, b'0\r\n\r\n'))
+        return self._build_response(
+            request, 200, self._build_body(request), (), '', 0
+        )
+
     async def _send_part(
         self,
         share: float,
@@ -230,7 +277,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        status = _ERROR_STATUSES.get(behaviour)
+        status = _read_status(behaviour)
         kind, _, _ = behaviour.partition('-cut-')
         last_response = self._last_responses.get(kind)
         if last_response:
@@ -427,8 +474,7 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        chunked = 'Transfer-Encoding: chunked'
-        writer.write(self._build_head(request, _STREAM_LINE, chunked))
+        writer.write(self._build_head(request, _STREAM_LINE, _CHUNKED))
         first = request.first_event
         for number in range(first, self.events + 1):
             event = build_event(number)
@@ -443,3 +489,9 @@
             await asyncio.sleep(self.event_s)
         writer.write(b'0\r\n\r\n')
         return True
+
+
+def _read_status(behaviour: str) -> int | None:
+    """Return the status that a behaviour responds with after a run, if any."""
+    kind, _, number = behaviour.partition('-')
+    return int(number) if kind == 'status' else _ERROR_STATUSES.get(behaviour)
