Take only a 200 for the continuation of a begun stream

Cause: when a resumable stream had begun and broke off, the next runner's answer was refused if it was a 5xx, 429, 421 or unsealed; any other status was taken for the continuation, and its body was relayed. Change: once a part has been relayed, every status but 200 fails the attempt.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -273,6 +273,9 @@
             return UpstreamFull(f'the runner answered {status}: not run')
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._check_server_error(status)
+        if self._listener.response_started and status != HTTPStatus.OK:
+            # Its body is no continuation of the stream.
+            return UpstreamErred(f'the runner answered {status}')
         if status == HTTPStatus.TOO_MANY_REQUESTS:
             return UpstreamErred(f'the runner answered {status}')
         if status < HTTPStatus.MULTIPLE_CHOICES and not sealed:
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -5,9 +5,46 @@
 import pytest
 
 from anvilhall.exceptions import UpstreamCut
+from anvilhall.outbound import Transfer
 from tests.site import count_runs, run_site
 
 EVENTS = b''.join(b'id: %d\ndata: event %d\n\n' % (n, n) for n in (1, 2, 3))
+#: Statuses of each class: those that mean something to the relay, and others.
+STATUSES = (
+    201,
+    202,
+    204,
+    206,
+    226,
+    300,
+    302,
+    304,
+    307,
+    400,
+    401,
+    403,
+    404,
+    405,
+    408,
+    409,
+    413,
+    416,
+    418,
+    421,
+    425,
+    429,
+    431,
+    451,
+    499,
+    500,
+    501,
+    502,
+    503,
+    504,
+    505,
+    511,
+    599,
+)
 #: Statuses by which the relay tells a caller that a request has not run.
 NOT_RUN = {408, 421, 429, 503}
 
@@ -59,6 +96,44 @@
     asyncio.run(scenario())
 
 
+# Guards against the text of an error within a stream, and against a stream that
+# ends as if it were complete.
+@pytest.mark.parametrize('status', STATUSES)
+def test_answer_of_the_next_runner_is_no_part_of_a_begun_stream(status):
+    async def scenario():
+        async with run_site(engines=2, events=3) as site:
+            for runner in (site.runners['llm-0'], site.runners['llm-1']):
+                runner.cut_after = 1
+                runner.behaviours.extend(['', f'status-{status}'])
+            replies = await asyncio.gather(
+                *(fetch_or_cut(site, f'/chat/{turn}') for turn in range(2)),
+            )
+            for reply in replies:
+                if reply is not None and reply.status == 200:
+                    assert reply.body == EVENTS
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('status', STATUSES)
+def test_begun_stream_is_cut_if_no_runner_goes_on(status):
+    async def scenario():
+        async with run_site(engines=1, events=3) as site:
+            runner = site.runners['llm-0']
+            runner.cut_after = 1
+            runner.behaviours.extend(['', *[f'status-{status}'] * 5])
+            received = []
+            with pytest.raises(UpstreamCut):
+                await site.client.stream(
+                    site.build_call('/chat/1', method='POST', body=b'q'),
+                    Transfer(),
+                    received.append,
+                )
+            assert EVENTS.startswith(b''.join(received))
+
+    asyncio.run(scenario())
+
+
 # Guards against a response framed as whole although its runner broke off.
 @pytest.mark.parametrize('kind', ['order', 'lookup'])
 def test_answer_cut_at_any_byte_is_not_taken_for_whole(kind):
