Dispute refusals of upstreams on reused connections

What callers of the own interface saw: 'not run' for a request that an upstream had run, if the upstream wrote an earlier refusal once more on a kept connection. Cause: 429 and 503 were believed without a look at the request they answer. Change: an upstream may name the request in X-Request-Id; a response that names another is garbled. A refusal that names none on a reused connection does not prove that the request has not run. Requests that must not run twice use a new connection for chats too, and so does a request that goes to a runner again. Ruled out by tests that passed before: an error of the next engine within a begun stream (33 statuses), and an order or a chat that breaks off.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -4,6 +4,7 @@
 import random
 from typing import Protocol
 
+import msgspec
 from tornado.httputil import HTTPHeaders
 
 from anvilhall import defaults
@@ -36,12 +37,14 @@
 from anvilhall.jobs import Job
 from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
-from anvilhall.outbound import Outbound, Reply, Transfer
+from anvilhall.outbound import Call, Outbound, Reply, Transfer
 from anvilhall.upstreams import WIRES, Wire, read_limit
 
 #: HTTP statuses by which an upstream states that it did not start the request.
 _REFUSAL_STATUSES = frozenset((429, 503))
 _HTTP_OK = 200
+#: Header in which an upstream may name the request that it answers.
+_REQUEST_ID = 'X-Request-Id'
 #: Seconds between progress reports on one request to the pool's owner.
 _PROGRESS_INTERVAL_S = 1.0
 #: Gap between chunks, in seconds, from which on progress is reported early;
@@ -105,6 +108,7 @@
         '_failed_attempts',
         '_job',
         '_may_have_run',
+        '_runners',
         '_services',
         '_sink',
         '_wire',
@@ -122,6 +126,8 @@
         #: Whether a failed attempt may have run the request.
         self._may_have_run = False
         self._avoided_runners: tuple[str, ...] = ()
+        #: Runners of all attempts.
+        self._runners: set[str] = set()
         self._claim: Claim | None = None
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
@@ -164,7 +170,13 @@
         pending_grant = PendingGrant()
         ask = self._build_ask()
         grant = await pending_grant.wait(self._services.broker, ask)
-        attempt = _Attempt(self._job, grant, self._services)
+        attempt = _Attempt(
+            self._job,
+            grant,
+            self._services,
+            repeated=grant.runner in self._runners,
+        )
+        self._runners.add(grant.runner)
         try:
             await self._claim_key()
             pending_grant.abort_on_pause(attempt.transfer)
@@ -173,7 +185,7 @@
             self._may_have_run = self._may_have_run or attempt.transfer.sent
             raise
         except AnvilhallError as error:
-            if error.outcome is not Outcome.NOT_RUN:
+            if error.outcome is not Outcome.NOT_RUN or attempt.disputed:
                 self._may_have_run = True
             if pending_grant.paused:
                 raise Paused from error
@@ -297,9 +309,11 @@
         '_last_chunk_at',
         '_longest_gap_s',
         '_reader',
+        '_repeated',
         '_reported_at',
         '_requests_per_s',
         '_services',
+        'disputed',
         'failure',
         'first_token_s',
         'grant',
@@ -307,8 +321,14 @@
         'transfer',
     )
 
-    def __init__(self, job: Job, grant: Grant, services: Services) -> None:
+    def __init__(
+        self, job: Job, grant: Grant, services: Services, *, repeated: bool
+    ) -> None:
         self.grant = grant
+        #: Whether the request was sent to this runner before.
+        self._repeated = repeated
+        #: Whether a refusal may be a copy of one to an earlier request.
+        self.disputed = False
         self.transfer = Transfer()
         self.served = False
         self.failure = ''
@@ -327,7 +347,7 @@
 
     async def exchange(self, wire: Wire) -> Reply:
         """Return the whole response of a plain service."""
-        call = wire.build_call(self._job, self.grant, None)
+        call = self._build_call(wire, None)
         watchdog = self._start_watchdog()
         try:
             reply = await self._services.outbound.fetch(call, self.transfer)
@@ -336,6 +356,9 @@
         finally:
             watchdog.cancel()
         self._note_limit(reply.headers)
+        problem = self._check_identity(reply.status, reply.headers)
+        if problem:
+            raise problem
         self.first_token_s = self.measure_elapsed_s()
         if reply.status in _REFUSAL_STATUSES and self._job.retryable:
             raise UpstreamRefused(
@@ -353,7 +376,7 @@
 
         :param answer: what earlier runners delivered and this one continues.
         """
-        call = wire.build_call(self._job, self.grant, answer)
+        call = self._build_call(wire, answer)
         errors: list[AnvilhallError] = []
 
         def on_chunk(chunk: bytes) -> None:  # noqa: WPS430
@@ -373,6 +396,9 @@
             nonlocal accepted  # noqa: WPS420
             self._note_limit(headers)
             accepted = status == _HTTP_OK
+            problem = self._check_identity(status, headers)
+            if problem:
+                errors.append(problem)
 
         watchdog = self._start_watchdog()
         try:
@@ -408,6 +434,30 @@
             ),
         )
 
+    def _build_call(self, wire: Wire, answer: Answer | None) -> Call:
+        call = wire.build_call(self._job, self.grant, answer)
+        if self._repeated:
+            # A faulty runner may repeat its earlier answer to this request.
+            return msgspec.structs.replace(call, fresh=True)
+        return call
+
+    def _check_identity(
+        self, status: int, headers: HTTPHeaders
+    ) -> UpstreamGarbled | None:
+        """Return the failure if a response belongs to another request.
+
+        On a reused connection, a refusal that does not name its request may be
+        a copy of an earlier one.
+        """
+        named = headers.get(_REQUEST_ID)
+        if named and named != self._job.request_id:
+            return UpstreamGarbled(
+                f'the response is one to the request {named}',
+            )
+        if status in _REFUSAL_STATUSES:
+            self.disputed = not (named or self.transfer.connected)
+        return None
+
     def _note_limit(self, headers: HTTPHeaders) -> None:
         services = self._services
         self._requests_per_s = read_limit(headers)
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -72,6 +72,7 @@
             headers=_build_headers(job),
             body=msgspec.json.encode(fields),
             connect_timeout_s=job.pool.connect_timeout_s,
+            fresh=not job.retryable,
         )
 
     def build_cancel(self, job: Job, grant: Grant) -> Call | None:
--- a/src/anvilhall_standins/simulation.py
+++ b/src/anvilhall_standins/simulation.py
@@ -542,6 +542,7 @@
             or not transfer.try_mark_sent()
         ):
             raise UpstreamRefused(f'connection to {address} refused')
+        transfer.connected = True
         assert upstream is not None  # noqa: S101
         response = asyncio.ensure_future(upstream.handle(call, sink))
         return await _finish_exchange(response, transfer, call, head_sink)
