Log when settings are polled and how old a lost topic's last answer is

Cause: the logs did not say who polls the settings, nor for how long a poll that failed had been without an answer, so that a poll that is never answered could not be told from a store that had just been lost. Change: settings_polled with the age of the peers' report, answer_age_s in store_lost. No behaviour changes.

--- a/src/anvilhall/feeds/base.py
+++ b/src/anvilhall/feeds/base.py
@@ -32,6 +32,7 @@
     """
 
     __slots__ = (
+        '_answered_at',
         '_clock',
         '_failures',
         '_is_reader',
@@ -63,6 +64,8 @@
         self._is_reader = is_reader
         #: Calls to the store that have failed since the last success.
         self._failures = 0
+        #: Monotonic time of the last answer; ``None``: there was none.
+        self._answered_at: float | None = None
 
     @property
     def unreachable(self) -> bool:
@@ -105,10 +108,21 @@
     def _record_failure(self, error: PlatformError) -> None:
         self._metrics.platform_failures.labels(self._topic, error.code).inc()
         if not self.unreachable:
-            log_event('store_lost', topic=self._topic, reason=error.reason)
+            log_event(
+                'store_lost',
+                topic=self._topic,
+                reason=error.reason,
+                answer_age_s=self._measure_answer_age_s(),
+            )
         self._failures += 1
 
+    def _measure_answer_age_s(self) -> float | None:
+        if self._answered_at is None:
+            return None
+        return self._clock.monotonic() - self._answered_at
+
     def _record_success(self) -> None:
+        self._answered_at = self._clock.monotonic()
         if self.unreachable:
             self._failures = 0
             log_event('store_regained', topic=self._topic)
--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -173,6 +173,15 @@
 
     async def _follow_topic(self) -> None:
         await self._wait_until_due()
+        log_event(
+            'settings_polled',
+            reader=self._is_reader(),
+            peer_age_s=(
+                None
+                if self._peer_contact_at is None
+                else self._measure_peer_age_s()
+            ),
+        )
         try:
             await self._poll()
         finally:
