Look at every version of the settings in a page

What callers saw: refusals as an older version says, for good. Cause: of one page of records only the last one was looked at, so a valid version followed by an invalid one of a higher number was dropped unread. Evidence: the new test fails on the code before (version 1 instead of 2) and passes now. Ruled out: nothing else is between the page and the versions. Change: every record of the page is passed on in order. Conclusion: mended for the page; versions that wait for their turn still displace each other.

--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -220,9 +220,6 @@
 
     def _apply_page(self, page: KeyedPage) -> None:
         self._record_success()
-        newest: bytes | None = None
         for record in page.records:
             if record.key == CONFIG_KEY and record.content is not None:
-                newest = record.content
-        if newest is not None:
-            self.apply(newest, 'store')
+                self.apply(record.content, 'store')
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -32,7 +32,12 @@
         self._changed = asyncio.Event()
 
     def publish(self, version):
-        encoded = msgspec.json.encode({'version': version, 'routes': []})
+        self.write(msgspec.json.encode({'version': version, 'routes': []}))
+
+    def publish_invalid(self, version):
+        self.write(msgspec.json.encode({'version': version, 'routes': 7}))
+
+    def write(self, encoded):
         position = Position(1, len(self.records))
         record = KeyedRecord(CONFIG_KEY, encoded, position)
         self.records.append(record)
@@ -239,6 +244,21 @@
     run_scenario(scenario)
 
 
+# Guards against a valid version that is lost because the page in which it
+# arrives also has an invalid one of a higher number.
+def test_version_before_an_invalid_one_in_a_page_is_in_force(run_scenario):
+    async def scenario(fleet):
+        fleet.store.publish(2)
+        fleet.store.publish_invalid(3)
+        await asyncio.sleep(IN_FORCE_S)
+        assert fleet.versions() == {2}
+        fleet.store.publish(4)
+        await asyncio.sleep(IN_FORCE_S)
+        assert fleet.versions() == {4}
+
+    run_scenario(scenario)
+
+
 def test_peer_is_asked_once_for_a_version_that_several_announce(run_scenario):
     async def scenario(fleet):
         feed = fleet.feeds['second']
