Keep all versions that wait until one of them is valid

What callers saw: refusals as an older version says, for good. Cause: within the 0.25 s between two versions that come into force, the one with the highest number replaced the others undecoded, and was refused only in its turn. Evidence: five new tests fail on the code before (a valid version followed by 1, 3 and 40 invalid ones, one of a lower number after an invalid one, two of one page) and pass now. Ruled out: decoding every version on arrival would take the processor time that the interval saves. Change: all versions wait, by number and source; in their turn the newest valid one comes into force. Beyond 16 they come into force at once, so that memory is bounded. Versions of one page take one turn. Conclusion: mended; an instance that starts later still finds only the invalid version.

--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -8,6 +8,7 @@
 from anvilhall.core.routes import RoutingSettings
 from anvilhall.exceptions import SettingsError
 from anvilhall.feeds.base import Feed
+from anvilhall.feeds.versions import EncodedVersion, WaitingVersions
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
 from anvilhall.platform.settings import decode_settings, decode_version
@@ -29,6 +30,9 @@
 #: not take the processor time of the relayed requests; versions superseded in
 #: between are skipped.
 _APPLY_INTERVAL_S = 0.25
+#: Number of waiting versions from which on they come into force at once, so
+#: that their memory is bounded.
+_MAX_WAITING = 16
 #: Seconds after which a version that a peer was asked for is asked for again.
 _ASK_TIMEOUT_S = 0.5
 
@@ -46,8 +50,8 @@
         '_asked',
         '_on_change',
         '_peer_contact_at',
-        '_pending',
         '_polling',
+        '_waiting',
         'settings',
     )
 
@@ -73,8 +77,7 @@
         self._peer_contact_at: float | None = None
         #: Version that a peer was asked for last, and when.
         self._asked = (-1, 0.0)
-        #: Newest version that is not in force yet, encoded, with its source.
-        self._pending: tuple[int, bytes, str] | None = None
+        self._waiting = WaitingVersions()
         self._applied_at: float | None = None
         self._apply_timer: asyncio.TimerHandle | None = None
 
@@ -102,8 +105,7 @@
         It should not if the version is known already or another peer was just
         asked for it.
         """
-        known = self._pending[0] if self._pending else self.version
-        if version <= known:
+        if version <= max(self.version, self._waiting.newest):
             return False
         now = self._clock.monotonic()
         asked, asked_at = self._asked
@@ -121,23 +123,27 @@
         :param encoded: the settings as JSON.
         :param source: for the log: ``store`` or the name of an instance.
         """
+        self._add(encoded, source)
+        self._apply_in_turn()
+
+    def _add(self, encoded: bytes, source: str) -> None:
         try:
-            version = decode_version(encoded)
+            number = decode_version(encoded)
         except SettingsError as error:
             self._record_refusal(error, source)
             return
-        known = self._pending[0] if self._pending else self.version
-        if version <= known:
-            return
-        self._pending = (version, encoded, source)
-        if self._apply_timer:
+        if number > self.version:
+            self._waiting.add(EncodedVersion(number, encoded, source))
+
+    def _apply_in_turn(self) -> None:
+        if not self._waiting:
             return
         delay_s = self._measure_apply_delay_s()
-        if delay_s > 0:
+        if delay_s <= 0 or len(self._waiting) >= _MAX_WAITING:
+            self._apply_waiting()
+        elif self._apply_timer is None:
             loop = asyncio.get_running_loop()
-            self._apply_timer = loop.call_later(delay_s, self._apply_pending)
-        else:
-            self._apply_pending()
+            self._apply_timer = loop.call_later(delay_s, self._apply_waiting)
 
     def _measure_apply_delay_s(self) -> float:
         if self._applied_at is None:
@@ -145,17 +151,21 @@
         elapsed_s = self._clock.monotonic() - self._applied_at
         return _APPLY_INTERVAL_S - elapsed_s
 
-    def _apply_pending(self) -> None:
-        self._apply_timer = None
-        if self._pending is None:
-            return
-        _, encoded, source = self._pending
-        self._pending = None
-        try:
-            settings = decode_settings(encoded)
-        except SettingsError as error:
-            self._record_refusal(error, source)
-            return
+    def _apply_waiting(self) -> None:
+        """Put the newest valid version in force and drop the others."""
+        if self._apply_timer:
+            self._apply_timer.cancel()
+            self._apply_timer = None
+        while version := self._waiting.pop_newest():
+            try:
+                settings = decode_settings(version.encoded)
+            except SettingsError as error:
+                self._record_refusal(error, version.source)
+                continue
+            self._waiting.clear()
+            self._put_in_force(settings, version.source)
+
+    def _put_in_force(self, settings: RoutingSettings, source: str) -> None:
         log_event(
             'settings_in_force',
             version=settings.version,
@@ -222,4 +232,5 @@
         self._record_success()
         for record in page.records:
             if record.key == CONFIG_KEY and record.content is not None:
-                self.apply(record.content, 'store')
+                self._add(record.content, 'store')
+        self._apply_in_turn()
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -259,6 +259,53 @@
     run_scenario(scenario)
 
 
+# Guards against a valid version that is displaced by an invalid one while it
+# waits for its turn.
+@pytest.mark.parametrize('invalid', [1, 3, 40])
+def test_version_that_waits_before_invalid_ones_is_in_force(
+    run_scenario, invalid
+):
+    async def scenario(fleet):
+        fleet.store.publish(2)
+        await asyncio.sleep(0.05)
+        fleet.store.publish(3)
+        for number in range(invalid):
+            fleet.store.publish_invalid(4 + number)
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.3)
+        assert fleet.versions() == {3}
+
+    run_scenario(scenario)
+
+
+# Guards against an older valid version that comes after an invalid one.
+def test_version_after_an_invalid_one_of_a_higher_number_is_in_force(
+    run_scenario,
+):
+    async def scenario(fleet):
+        feed = fleet.feeds['reader']
+        fleet.store.publish(2)
+        await asyncio.sleep(0.05)
+        feed.apply(b'{"version":9,"routes":7}', 'second')
+        feed.apply(b'{"version":8,"routes":[]}', 'third')
+        feed.apply(b'{"version":8,"routes":7}', 'fourth')
+        await asyncio.sleep(0.3)
+        assert feed.version == 8
+
+    run_scenario(scenario)
+
+
+# Guards against versions of one page that come into force one by one.
+def test_newest_version_of_a_page_is_in_force_at_once(run_scenario):
+    async def scenario(fleet):
+        fleet.store.publish(2)
+        fleet.store.publish(3)
+        await asyncio.sleep(0.05)
+        assert fleet.versions() == {3}
+
+    run_scenario(scenario)
+
+
 def test_peer_is_asked_once_for_a_version_that_several_announce(run_scenario):
     async def scenario(fleet):
         feed = fleet.feeds['second']
