Give up a poll of the settings that is not answered after 1.3 s

What callers saw: refusals as an older version says, in a whole failure domain, for up to 11 s after a change was confirmed. Cause: a long poll took 10 s and was given up 0.7 s later, and all that time the reader reported that it keeps the settings current, so that no other instance polled. Evidence: four new tests with polls that are never answered fail on the code before, for 0.1 to 9 s of silence and with all polls silent, and pass now. Ruled out: the store itself (other calls to it were answered) and the links (followers had the version from each other). Change: polls of 0.8 s, given up after a further 0.5 s; the newest version is then listed at once. A reader's report thus rests on an answer of the last 1.3 s. Costs about one call a second and failure domain.

--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from anvilhall.clock import Clock
+from anvilhall.core.positions import Position
 from anvilhall.core.routes import RoutingSettings
-from anvilhall.exceptions import SettingsError
+from anvilhall.exceptions import LogUnavailable, SettingsError
 from anvilhall.feeds.base import Feed
 from anvilhall.feeds.versions import EncodedVersion, WaitingVersions
 from anvilhall.logs import log_event
@@ -20,9 +21,13 @@
 )
 
 #: Seconds of the first long poll, within which links to peers come up that make
-#: further polls needless, and of later ones.
+#: further polls needless, and of later ones. A version must be in force two
+#: seconds after it was published, even if the answer to a poll is lost.
 _FIRST_POLL_S = 2.0
-_POLL_S = 10.0
+_POLL_S = 0.8
+#: Seconds beyond those of the poll after which it counts as lost. The store
+#: answers within 4 ms, and within 0.2 s when it is slow.
+_POLL_TIMEOUT_S = 0.5
 #: Seconds without a report of a polling peer after which an instance that is
 #: not the reader polls the store itself. Peers report every 0.8 s.
 _MAX_PEER_AGE_S = 1.6
@@ -215,19 +220,29 @@
         return self._clock.monotonic() - self._peer_contact_at
 
     async def _poll(self) -> None:
-        page = await self._store.list_newest(self._topic)
-        self._apply_page(page)
-        self._polling = True
+        end = await self._list_newest()
         poll_s = _FIRST_POLL_S
         while self._is_poll_due():
-            page = await self._store.read(
-                self._topic,
-                page.end,
-                poll_s,
-            )
-            self._apply_page(page)
+            try:
+                page = await self._store.read(
+                    self._topic, end, poll_s, _POLL_TIMEOUT_S
+                )
+            except LogUnavailable as error:
+                # A lost answer may have carried a version.
+                self._polling = False
+                self._record_failure(error)
+                end = await self._list_newest()
+            else:
+                self._apply_page(page)
+                end = page.end
             poll_s = _POLL_S
 
+    async def _list_newest(self) -> Position:
+        page = await self._store.list_newest(self._topic)
+        self._apply_page(page)
+        self._polling = True
+        return page.end
+
     def _apply_page(self, page: KeyedPage) -> None:
         self._record_success()
         for record in page.records:
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -119,10 +119,12 @@
         topic: str,
         start: Position,
         wait_s: float,
+        timeout_s: float = _CALL_TIMEOUT_S,
     ) -> KeyedPage:
         """Return the records from a position on.
 
         :param wait_s: seconds to wait for a record if there is none yet.
+        :param timeout_s: seconds beyond ``wait_s`` after which the call fails.
         :raises StoreRestored: if the store is in another era.
         :raises RecordsExpired: if the store no longer has that offset.
         :raises LogUnavailable: if the call fails or the response is invalid.
@@ -131,9 +133,7 @@
         query = {'from': offset, 'topic': topic, 'part': _PARTITION}
         if wait_s > 0:
             query['wait_ms'] = int(wait_s * _MS_PER_S)
-        era, reply = await self._get(
-            'log-read', query, wait_s + _CALL_TIMEOUT_S
-        )
+        era, reply = await self._get('log-read', query, wait_s + timeout_s)
         _check_era(topic, start, era)
         if reply.status == _HTTP_GONE:
             raise RecordsExpired(
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -17,6 +17,7 @@
 START = dt.datetime(2026, 3, 30, 6, 0, tzinfo=dt.UTC)
 #: Seconds within which a version must be in force everywhere.
 IN_FORCE_S = 2.0
+CALL_TIMEOUT_S = 0.7
 #: Seconds between two reports of the reader to its peers.
 REPORT_S = 0.8
 FOLLOWERS = ('second', 'third', 'fourth')
@@ -29,6 +30,8 @@
         self.records = []
         self.calls = {}
         self.unreachable_from = set()
+        #: Instances whose open long polls are never answered.
+        self.silent_polls_of = set()
         self._changed = asyncio.Event()
 
     def publish(self, version):
@@ -68,12 +71,20 @@
         self._count()
         return self._read(max(0, len(self._store.records) - 1))
 
-    async def read(self, topic, start, wait_s):
-        offset = start.offset
+    async def read(self, topic, start, wait_s, timeout_s=CALL_TIMEOUT_S):
+        try:
+            async with asyncio.timeout(wait_s + timeout_s):
+                return await self._wait_and_read(start.offset, wait_s)
+        except TimeoutError as error:
+            raise LogUnavailable('timed out') from error
+
+    async def _wait_and_read(self, offset, wait_s):
         self._count()
         if offset >= len(self._store.records):
             await self._store.wait_for_change(wait_s)
             self._check()
+        if self._instance in self._store.silent_polls_of:
+            await asyncio.Event().wait()
         return self._read(offset)
 
     def _read(self, offset):
@@ -244,6 +255,37 @@
     run_scenario(scenario)
 
 
+# Guards against a version that is late because a poll that is never answered
+# counts as one that keeps the settings current.
+@pytest.mark.parametrize('silent_s', [0.1, 0.9, 2.3, 9.0])
+def test_version_is_in_force_in_time_if_a_poll_is_not_answered(
+    run_scenario, silent_s
+):
+    async def scenario(fleet):
+        fleet.store.silent_polls_of = {'reader'}
+        await asyncio.sleep(silent_s)
+        fleet.store.publish(2)
+        await asyncio.sleep(IN_FORCE_S)
+        assert fleet.versions() == {2}
+
+    run_scenario(scenario)
+
+
+# Guards against a version that is late because all open polls fell silent.
+def test_version_is_in_force_in_time_if_all_open_polls_fall_silent(
+    run_scenario,
+):
+    async def scenario(fleet):
+        fleet.store.silent_polls_of = {'reader', *FOLLOWERS}
+        fleet.store.publish(2)
+        await asyncio.sleep(0.05)
+        fleet.store.silent_polls_of = set()
+        await asyncio.sleep(IN_FORCE_S - 0.05)
+        assert fleet.versions() == {2}
+
+    run_scenario(scenario)
+
+
 # Guards against a valid version that is lost because the page in which it
 # arrives also has an invalid one of a higher number.
 def test_version_before_an_invalid_one_in_a_page_is_in_force(run_scenario):
