Read a reported version from the store if no peer delivers it

What callers saw: refusals as an older version says, on single instances, up to 3.6 s after a change was confirmed and after its version was in force on all others. Cause: an instance asks the peer that reports a newer version for it. Links exist in both directions; a report can arrive on one while the ask is lost on the other, which has fallen silent. Such a link is closed after 3.6 s only, and as long as reports come, the instance does not poll. Change: what a peer has reported and no peer has delivered within 0.5 s is listed from the store, once for each report that the store does not bear out.

--- a/src/anvilhall/feeds/base.py
+++ b/src/anvilhall/feeds/base.py
@@ -21,7 +21,7 @@
 #: instances other than a reader. A reader notifies them of the store's return.
 _MAX_RETRY_DELAY_S = 1.0
 #: Seconds between checks whether a read is due.
-_DUE_CHECK_S = 0.2
+DUE_CHECK_S = 0.2
 
 
 class Feed:
@@ -103,7 +103,7 @@
 
     async def _sleep_until_stale(self, age_s: float, limit_s: float) -> None:
         """Sleep until state of this age may have reached its age limit."""
-        await asyncio.sleep(max(_DUE_CHECK_S, limit_s - age_s))
+        await asyncio.sleep(max(DUE_CHECK_S, limit_s - age_s))
 
     def _record_failure(self, error: PlatformError) -> None:
         self._metrics.platform_failures.labels(self._topic, error.code).inc()
--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -8,7 +8,7 @@
 from anvilhall.core.positions import Position
 from anvilhall.core.routes import RoutingSettings
 from anvilhall.exceptions import LogUnavailable, SettingsError
-from anvilhall.feeds.base import Feed
+from anvilhall.feeds.base import DUE_CHECK_S, Feed
 from anvilhall.feeds.versions import EncodedVersion, WaitingVersions
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
@@ -19,6 +19,7 @@
     KeyedPage,
     StoreClient,
 )
+from anvilhall.tasks import WakeableTimer
 
 #: Seconds of the first long poll, within which links to peers come up that make
 #: further polls needless, and of later ones. A version must be in force two
@@ -38,7 +39,8 @@
 #: Number of waiting versions from which on they come into force at once, so
 #: that their memory is bounded.
 _MAX_WAITING = 16
-#: Seconds after which a version that a peer was asked for is asked for again.
+#: Seconds after which a version that a peer was asked for is asked for again,
+#: and after which one that a peer has reported is read from the store.
 _ASK_TIMEOUT_S = 0.5
 
 
@@ -55,7 +57,9 @@
         '_asked',
         '_on_change',
         '_peer_contact_at',
+        '_due_timer',
         '_polling',
+        '_reported',
         '_waiting',
         'settings',
     )
@@ -82,6 +86,11 @@
         self._peer_contact_at: float | None = None
         #: Version that a peer was asked for last, and when.
         self._asked = (-1, 0.0)
+        #: Newest version that a peer has reported, and when this instance first
+        #: lacked it.
+        self._reported = (-1, 0.0)
+        #: Woken when a reported version is due to be read from the store.
+        self._due_timer = WakeableTimer()
         self._waiting = WaitingVersions()
         self._applied_at: float | None = None
         self._apply_timer: asyncio.TimerHandle | None = None
@@ -113,12 +122,26 @@
         if version <= max(self.version, self._waiting.newest):
             return False
         now = self._clock.monotonic()
+        self._note_reported(version, now)
         asked, asked_at = self._asked
         if version <= asked and now - asked_at < _ASK_TIMEOUT_S:
             return False
         self._asked = (version, now)
         return True
 
+    def _note_reported(self, version: int, now: float) -> None:
+        reported, _ = self._reported
+        if reported <= self.version:
+            self._reported = (version, now)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_ASK_TIMEOUT_S, self._due_timer.wake)
+
+    def _lacks_reported(self) -> bool:
+        reported, reported_at = self._reported
+        return reported > self.version and (
+            self._clock.monotonic() - reported_at >= _ASK_TIMEOUT_S
+        )
+
     def apply(self, encoded: bytes, source: str) -> None:
         """Put a version in force if it is newer than the current one.
 
@@ -204,14 +227,14 @@
 
     async def _wait_until_due(self) -> None:
         while not self._is_poll_due():
-            await self._sleep_until_stale(
-                self._measure_peer_age_s(),
-                _MAX_PEER_AGE_S,
-            )
+            left_s = _MAX_PEER_AGE_S - self._measure_peer_age_s()
+            await self._due_timer.wait(max(DUE_CHECK_S, left_s))
 
     def _is_poll_due(self) -> bool:
-        return self._is_reader() or (
-            self._measure_peer_age_s() > _MAX_PEER_AGE_S
+        return (
+            self._is_reader()
+            or self._measure_peer_age_s() > _MAX_PEER_AGE_S
+            or self._lacks_reported()
         )
 
     def _measure_peer_age_s(self) -> float:
@@ -240,6 +263,9 @@
     async def _list_newest(self) -> Position:
         page = await self._store.list_newest(self._topic)
         self._apply_page(page)
+        # A reported version that the store does not have is not asked for
+        # again until a peer reports it again.
+        self._reported = (-1, 0.0)
         self._polling = True
         return page.end
 
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -108,6 +108,8 @@
         self.store = _Store()
         self.reader = 'reader'
         self.partitioned = set()
+        #: Instances whose asks for a version are never answered.
+        self.silent_asks_of = set()
         self.applied = {}
         self.feeds = {}
         for name in ('reader', *FOLLOWERS):
@@ -139,7 +141,10 @@
             self._offer(sender, name, settings.version)
 
     def _offer(self, sender, receiver, version):
-        if self.feeds[receiver].should_ask(version):
+        if (
+            self.feeds[receiver].should_ask(version)
+            and receiver not in self.silent_asks_of
+        ):
             encoded = self.feeds[sender].settings.encoded
             self.feeds[receiver].apply(encoded, sender)
 
@@ -286,6 +291,24 @@
     run_scenario(scenario)
 
 
+# Guards against a version that is late because the peer that reports it does
+# not get the ask for it, as on a link that is silent in one direction.
+def test_version_is_in_force_in_time_if_peers_do_not_answer(run_scenario):
+    async def scenario(fleet):
+        fleet.silent_asks_of = set(FOLLOWERS)
+        await asyncio.sleep(1.0)
+        before = fleet.store.count_calls()
+        for version in range(2, 6):
+            fleet.store.publish(version)
+            await asyncio.sleep(IN_FORCE_S / 2)
+            assert fleet.versions() == {version}
+            await asyncio.sleep(IN_FORCE_S)
+        calls = fleet.store.count_calls() - before
+        assert calls <= 3 * 4 * len(FOLLOWERS)
+
+    run_scenario(scenario)
+
+
 # Guards against a valid version that is lost because the page in which it
 # arrives also has an invalid one of a higher number.
 def test_version_before_an_invalid_one_in_a_page_is_in_force(run_scenario):
