Count only reports of the current version as a substitute for polling

What callers saw: refusals as an older version says, on an instance whose only polling peer is behind. Cause: any report of a polling peer kept an instance from polling, even one of a version older than its own, which shows that the peer's poll is behind. Evidence: the new test fails on the code before and passes now. Change: such reports are ignored.

--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -108,9 +108,10 @@
     def note_peer_version(self, version: int) -> None:
         """Note the version reported by a peer that polls the store.
 
-        :param version: the peer's :attr:`polled_version`; -1 is ignored.
+        :param version: the peer's :attr:`polled_version`; an older one than the
+            current version, or -1, is ignored.
         """
-        if version >= 0:
+        if version >= max(0, self.version):
             self._peer_contact_at = self._clock.monotonic()
 
     def should_ask(self, version: int) -> bool:
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -309,6 +309,27 @@
     run_scenario(scenario)
 
 
+# Guards against a peer that keeps an instance from polling although its own
+# version is older.
+def test_report_of_an_older_version_does_not_replace_polling(run_scenario):
+    async def scenario(fleet):
+        fleet.partitioned = {'reader', 'second'}
+        feed = fleet.feeds['second']
+        fleet.store.publish(2)
+        await asyncio.sleep(IN_FORCE_S)
+        assert feed.version == 2
+        for _ in range(40):
+            feed.note_peer_version(1)
+            await asyncio.sleep(IN_FORCE_S / 20)
+        fleet.store.publish(3)
+        for _ in range(20):
+            feed.note_peer_version(1)
+            await asyncio.sleep(IN_FORCE_S / 20)
+        assert feed.version == 3
+
+    run_scenario(scenario)
+
+
 # Guards against a valid version that is lost because the page in which it
 # arrives also has an invalid one of a higher number.
 def test_version_before_an_invalid_one_in_a_page_is_in_force(run_scenario):
