Find the newest valid version behind an invalid one in the store

What callers saw: 503 from an instance that started while the store's newest settings were invalid, for as long as they were. Cause: the store lists only the newest record of a key, and an instance looks at nothing else. Ruled out: keeping a copy in a topic of our own, which costs writes for each version. Change: if a listed version is refused, the retained records are read from the oldest one on, once for each end of the topic. Conclusion: mended while the records are retained or a peer knows a valid version; if all instances are replaced after the records have expired, none is ready until the next version.

--- a/src/anvilhall/feeds/settings.py
+++ b/src/anvilhall/feeds/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from anvilhall.clock import Clock
-from anvilhall.core.positions import Position
+from anvilhall.core.positions import UNREAD, Position
 from anvilhall.core.routes import RoutingSettings
 from anvilhall.exceptions import LogUnavailable, SettingsError
 from anvilhall.feeds.base import DUE_CHECK_S, Feed
@@ -59,7 +59,9 @@
         '_peer_contact_at',
         '_due_timer',
         '_polling',
+        '_refusals',
         '_reported',
+        '_searched_until',
         '_waiting',
         'settings',
     )
@@ -92,6 +94,10 @@
         #: Woken when a reported version is due to be read from the store.
         self._due_timer = WakeableTimer()
         self._waiting = WaitingVersions()
+        #: Versions that were refused as invalid.
+        self._refusals = 0
+        #: End of the records in which an older valid version was searched for.
+        self._searched_until = UNREAD
         self._applied_at: float | None = None
         self._apply_timer: asyncio.TimerHandle | None = None
 
@@ -207,6 +213,7 @@
         self._on_change(settings)
 
     def _record_refusal(self, error: SettingsError, source: str) -> None:
+        self._refusals += 1
         log_event('settings_refused', source=source, reason=error.reason)
         self._metrics.publications.labels(error.code).inc()
 
@@ -262,14 +269,29 @@
             poll_s = _POLL_S
 
     async def _list_newest(self) -> Position:
+        refusals = self._refusals
         page = await self._store.list_newest(self._topic)
         self._apply_page(page)
+        self._apply_waiting()
+        if self._refusals > refusals and page.end > self._searched_until:
+            await self._search_records(page.end)
+            self._searched_until = page.end
         # A reported version that the store does not have is not asked for
         # again until a peer reports it again.
         self._reported = (-1, 0.0)
         self._polling = True
         return page.end
 
+    async def _search_records(self, end: Position) -> None:
+        """Apply all retained records: the newest one of the key is invalid."""
+        position = await self._store.find_first(self._topic)
+        while position < end:
+            page = await self._store.read(self._topic, position, 0)
+            self._apply_page(page)
+            if page.end == position:
+                return
+            position = page.end
+
     def _apply_page(self, page: KeyedPage) -> None:
         self._record_success()
         for record in page.records:
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -36,6 +36,8 @@
 #: Seconds for which an idle connection may be reused.
 _IDLE_LIMIT_S = 30
 _MS_PER_S = 1000
+#: Smallest limit on the size of a response, in KB.
+_LEAST_KB = 1
 _HTTP_OK = 200
 _HTTP_GONE = 410
 #: Number of times that the store has come back from an older copy, in which
@@ -71,6 +73,11 @@
     offset: int = -1
 
 
+class _Expired(msgspec.Struct):
+    #: Offset of the oldest retained record.
+    first: int
+
+
 class _NewestPage(msgspec.Struct):
     items: list[_Item]
     truncated: bool
@@ -142,6 +149,24 @@
         _check_status(reply)
         return _decode_records(reply.body, start)
 
+    async def find_first(self, topic: str) -> Position:
+        """Return the position of the oldest retained record.
+
+        :raises LogUnavailable: if the call fails or the response is invalid.
+        """
+        query = {
+            'from': 0,
+            'topic': topic,
+            'part': _PARTITION,
+            'max_kb': _LEAST_KB,
+        }
+        era, reply = await self._get('log-read', query, _CALL_TIMEOUT_S)
+        if reply.status == _HTTP_GONE:
+            return Position(era, _decode(reply.body, _Expired).first)
+        _check_status(reply)
+        _, first = _decode_offsets(reply.body)
+        return Position(era, first)
+
     async def put(self, topic: str, record: KeyedRecord) -> int:
         """Write a record; a ``content`` of ``None`` removes its key.
 
@@ -254,11 +279,18 @@
         ) from error
 
 
-def _decode_records(body: bytes, start: Position) -> KeyedPage:
+def _decode_offsets(body: bytes) -> tuple[int, int]:
+    """Return the end and the oldest retained offset of a response."""
     if len(body) < _OFFSETS.size:
         raise LogUnavailable(
             f'response has {len(body)} bytes, its header {_OFFSETS.size}',
         )
+    end, first = _OFFSETS.unpack_from(body)
+    return end, first
+
+
+def _decode_records(body: bytes, start: Position) -> KeyedPage:
+    _decode_offsets(body)
     records: list[KeyedRecord] = []
     index = _OFFSETS.size
     end = start
--- a/tests/test_feeds_settings.py
+++ b/tests/test_feeds_settings.py
@@ -71,6 +71,9 @@
         self._count()
         return self._read(max(0, len(self._store.records) - 1))
 
+    async def find_first(self, topic):
+        return Position(1, 0)
+
     async def read(self, topic, start, wait_s, timeout_s=CALL_TIMEOUT_S):
         try:
             async with asyncio.timeout(wait_s + timeout_s):
