Decide locally on classes that the owner of the pool does not know

What callers saw: 400 on a route that had just been added, from an instance that had the new version. Cause: a version comes into force on each instance at its own time, up to 0.25 s apart in a burst and longer if an instance is cut off; an owner with the older one refused the class as unknown, and the asking instance passed that on as final although its own settings have the class. Evidence: the new test fails on the code before (refused) and passes now (granted by the fallback); a class that nobody has is still refused. Ruled out: the account and its tier, which the asking instance sends along. Change: such a refusal is answered as a missing answer is, by the local shard with its share of the slots.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -36,6 +36,7 @@
     Overloaded,
     PeerUnreachable,
     RequestRefused,
+    UnknownClass,
     list_errors,
 )
 
@@ -469,6 +470,11 @@
             pending.foreign_owners = None
             self._fallback.mark_not_owner(sender)
             return
+        remote = sender not in {self._name, _FALLBACK}
+        if remote and refusal.code == UnknownClass.code:
+            # This instance knows the class, so the owner has other settings.
+            self._ask_fallback(pending)
+            return
         self._refuse(pending, _build_error(refusal))
 
     def _refuse(self, pending: _Pending, error: RequestRefused) -> None:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -1,5 +1,6 @@
 """Owners that answer late, not at all, or from a stale view."""
 
+import msgspec
 import pytest
 
 from anvilhall.core.broker import Broker
@@ -16,7 +17,8 @@
 )
 from anvilhall.core.owner import NOT_OWNER, Owner
 from anvilhall.core.roster import RunnerEndpoint
-from anvilhall.exceptions import UpstreamCut
+from anvilhall.core.tree import Tree
+from anvilhall.exceptions import UnknownClass, UpstreamCut
 
 TIMEOUTS = OwnerTimeouts(answer_timeout_s=0.06, settling_s=0.0)
 
@@ -131,6 +133,30 @@
     assert requester.list_asks() == ['q1']
 
 
+# Guards against a request refused as unknown by an owner that does not have the
+# settings by which this instance accepted it.
+def test_request_whose_class_the_owner_does_not_know_uses_the_fallback(
+    requester,
+):
+    handler = requester.ask()
+    refusal = Refusal('q1', UnknownClass.code, 'no class named lookup')
+    requester.broker.handle_answer(requester.owner, refusal)
+    assert handler.error is None
+    assert handler.grant.runner == 'r1'
+
+
+# Guards against an endless exchange about a class that nobody knows any more.
+def test_request_of_a_class_that_was_removed_everywhere_is_refused(
+    requester, root
+):
+    handler = requester.ask()
+    without = msgspec.structs.replace(root, classes={})
+    requester.broker.set_tree(Tree({'': without}))
+    refusal = Refusal('q1', UnknownClass.code, 'no class named lookup')
+    requester.broker.handle_answer(requester.owner, refusal)
+    assert handler.error.code == UnknownClass.code
+
+
 def test_queued_request_stays_with_its_owner(requester):
     handler = requester.ask()
     requester.broker.handle_answer(requester.owner, Queued('q1'))
