Refuse settings of any content instead of failing to read them

What callers saw: nothing yet; found by giving every reader odd bytes. Cause: JSON that is nested too deeply raises another error than malformed JSON, so the reading of the settings ended and was started again at each read; a version number above 64 bits was put in force, after which no version of the operator's could come into force any more. Change: one function decodes JSON of other programs and turns every failure into one error; version numbers are bounded.

--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -283,6 +283,13 @@
     code = 'caller_gone'
 
 
+class MalformedData(AnvilhallError):
+    """Data of another program can't be decoded."""
+
+    code = 'malformed_data'
+    outcome = Outcome.NOT_RUN
+
+
 class PlatformError(AnvilhallError):
     """A platform service failed or refused a call."""
 
--- a/src/anvilhall/platform/settings.py
+++ b/src/anvilhall/platform/settings.py
@@ -1,5 +1,7 @@
 """Decodes the operator's manifest of routes, services and tenants."""
 
+from typing import Annotated, TypeVar
+
 import msgspec
 
 from anvilhall.core.profiles import (
@@ -22,7 +24,10 @@
     TeamNode,
 )
 from anvilhall.core.tree import Tree, hash_key
-from anvilhall.exceptions import SettingsError
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData, SettingsError
+
+_Decoded = TypeVar('_Decoded')
 
 _MS_PER_S = 1000.0
 
@@ -30,6 +35,10 @@
 _IDEMPOTENT = 'idempotent'
 
 
+#: Number of a version, which instances exchange as a 64-bit integer.
+_VersionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Share(msgspec.Struct):
     service: str
     weight: float = 0.0
@@ -82,7 +91,7 @@
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: _VersionNumber
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -90,7 +99,7 @@
 
 
 class _Version(msgspec.Struct):
-    version: int
+    version: _VersionNumber
 
 
 def decode_version(encoded: bytes) -> int:
@@ -99,10 +108,8 @@
     :param encoded: manifest as JSON.
     :raises SettingsError: if the manifest is malformed or has no version.
     """
-    try:
-        return msgspec.json.decode(encoded, type=_Version).version
-    except msgspec.DecodeError as error:
-        raise SettingsError(f'malformed manifest: {error}') from error
+    decoded: _Version = _decode(encoded, _Version)
+    return decoded.version
 
 
 def decode_settings(encoded: bytes) -> RoutingSettings:
@@ -111,10 +118,7 @@
     :param encoded: manifest as JSON.
     :raises SettingsError: if the manifest is malformed or inconsistent.
     """
-    try:
-        manifest = msgspec.json.decode(encoded, type=_Manifest)
-    except msgspec.DecodeError as error:
-        raise SettingsError(f'malformed manifest: {error}') from error
+    manifest: _Manifest = _decode(encoded, _Manifest)
     try:
         tree = _build_tree(manifest)
     except SettingsFaulty as faulty:
@@ -134,6 +138,13 @@
     )
 
 
+def _decode(encoded: bytes, kind: type[_Decoded]) -> _Decoded:
+    try:
+        return decode_json(encoded, kind)
+    except MalformedData as error:
+        raise SettingsError(f'malformed manifest: {error.reason}') from error
+
+
 def _build_route(route: _Route) -> Route:
     if route.traffic_split:
         pools = tuple(
