Treat every odd entry of the registry as one that names no runner

What callers saw: requests sent to runners that had left, for as long as one odd entry stood in the list. Cause: an entry nested 50,000 deep, or a port with 6,000 digits or a superscript one, raised an error that nobody caught; the reading task ended, was started again and ended again, so the runners were followed no more, and instances that started found none. Ports 0 and 65536, empty hosts, hosts with CR LF, NUL or spaces, numbers beyond 64 bits and keys that no header can carry were taken as runners. The same holds for entries of instances, of quarantined prompts and for runners that a peer passes on. Change: the decoder of JSON of other programs is used, addresses are matched as a whole, numbers are bounded.

--- a/src/anvilhall/core/quarantine.py
+++ b/src/anvilhall/core/quarantine.py
@@ -9,6 +9,7 @@
 import collections
 import hashlib
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -27,19 +28,20 @@
 #: Limit on the entries, withdrawn ones included; the oldest are dropped.
 _MAX_ENTRIES = 256
 _KEY_BYTES = 8
+_MAX_KEY_CHARACTERS = 64
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True):
     """Parts that crash runners if a prompt has all of them."""
 
     #: Identifies the entry for good; its parts may change.
-    key: str
+    key: Annotated[str, msgspec.Meta(max_length=_MAX_KEY_CHARACTERS)]
     #: Empty: the entry is withdrawn.
     parts: tuple[str, ...]
     #: Increases with each change; of two versions, the higher one holds.
-    version: int = 1
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 1
     #: Probes that have crashed a runner.
-    strikes: int = 0
+    strikes: Annotated[int, msgspec.Meta(ge=0, lt=2**31)] = 0
 
     @property
     def order(self) -> tuple[int, int, tuple[str, ...]]:
--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -13,7 +13,7 @@
 from anvilhall.feeds.base import Feed
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
-from anvilhall.platform.registration import decode_runner
+from anvilhall.platform.registration import check_runner, decode_runner
 from anvilhall.platform.store import (
     RUNNERS_TOPIC,
     KeyedPage,
@@ -75,6 +75,8 @@
         name = news.runner.name
         if news.position <= self._view.get_version(name):
             return
+        if not news.gone and not self._is_usable(news.runner):
+            return
         before = self._view.members
         now = self._clock.monotonic()
         self._view.note_era(news.era, now)
@@ -121,6 +123,8 @@
         self._view.note_era(offer.era, now)
         names: set[str] = set()
         for entry in offer.entries:
+            if not self._is_usable(entry.runner):
+                continue
             names.add(entry.runner.name)
             self._view.put(entry.runner, entry.position, now)
         self._view.keep_only(names, offer.position, now)
@@ -237,15 +241,23 @@
         try:
             runner = decode_runner(record, self._region)
         except UnusableEntry as error:
-            self._metrics.platform_failures.labels(
-                self._topic,
-                error.code,
-            ).inc()
-            log_event('entry_unusable', reason=error.reason)
+            self._note_unusable(error)
             self._view.remove(record.key, record.position, now)
         else:
             self._view.put(runner, record.position, now)
 
+    def _is_usable(self, runner: Member) -> bool:
+        try:
+            check_runner(runner)
+        except UnusableEntry as error:
+            self._note_unusable(error)
+            return False
+        return True
+
+    def _note_unusable(self, error: UnusableEntry) -> None:
+        self._metrics.platform_failures.labels(self._topic, error.code).inc()
+        log_event('entry_unusable', reason=error.reason)
+
 
 def _log_runner_changes(
     before: Iterable[Member],
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import re
 
 import msgspec
 
@@ -11,6 +12,16 @@
 from anvilhall.core.policies import DEFAULT_POLICY
 from anvilhall.core.settings import Fault, SettingsFaulty
 
+#: Address ``HOST:PORT``; the host is a name, an IPv4 address or an IPv6 address
+#: in brackets.
+_ADDRESS = re.compile(
+    r'(?P<host>[\w.-]{1,253}|\[[\da-f:.]{2,45}\]):(?P<port>\d{1,5})',
+    re.ASCII | re.IGNORECASE,
+)
+_MAX_PORT = 65535
+#: Characters of a malformed address in an error message.
+_SHOWN_CHARACTERS = 80
+
 
 class _Strict(
     msgspec.Struct,
@@ -140,11 +151,13 @@
 
     :raises SettingsFaulty: if it does not have that form.
     """
-    host, colon, port = address.rpartition(':')
-    if not colon or not port.isdigit():
-        fault = Fault(path=address, reason='not of the form HOST:PORT')
+    found = _ADDRESS.fullmatch(address)
+    port = int(found['port']) if found else 0
+    if not found or not 0 < port <= _MAX_PORT:
+        shown = ascii(address[:_SHOWN_CHARACTERS])
+        fault = Fault(path=shown, reason='not of the form HOST:PORT')
         raise SettingsFaulty([fault])
-    return host, int(port)
+    return found['host'], port
 
 
 def _build_error(path: pathlib.Path, reason: str) -> SettingsFaulty:
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -1,11 +1,14 @@
 """Store entries of runners, and those that this system keeps for itself."""
 
+import math
+
 import msgspec
 
 from anvilhall.core.members import Member
 from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.settings import SettingsFaulty
-from anvilhall.exceptions import UnusableEntry
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData, UnusableEntry
 from anvilhall.local import split_address
 from anvilhall.platform.store import KeyedRecord
 
@@ -14,6 +17,11 @@
 #: Prefix of the keys of quarantined prompts, which share the topic of the
 #: instances, so that one read returns both. Names of instances have no slash.
 _QUARANTINE_PREFIX = 'quarantine/'
+#: Characters of an error's reason in a log line.
+_SHOWN_CHARACTERS = 200
+#: Largest integer that instances exchange.
+_MAX_INTEGER = 2**63 - 1
+_MAX_SLOTS = 2**31 - 1
 
 
 class _Server(msgspec.Struct):
@@ -47,15 +55,12 @@
         names no service.
     """
     try:
-        server = msgspec.json.decode(record.content or b'', type=_Server)
-        split_address(server.address)
-    except (msgspec.DecodeError, SettingsFaulty) as error:
-        raise UnusableEntry(f'{record.key}: {error}') from error
-    if server.state not in {_READY, _DRAINING} or not server.service:
-        raise UnusableEntry(
-            f'{record.key}: service {server.service!r}, state {server.state!r}',
-        )
-    return Member(
+        server: _Server = decode_json(record.content or b'', _Server)
+    except MalformedData as error:
+        raise _build_error(record.key, error.reason) from error
+    if server.state not in {_READY, _DRAINING}:
+        raise _build_error(record.key, f'state {server.state!r}')
+    runner = Member(
         name=record.key,
         address=server.address,
         failure_domain=server.zone,
@@ -65,6 +70,26 @@
         slots=max(0, server.slots),
         born=server.born,
     )
+    check_runner(runner)
+    return runner
+
+
+def check_runner(runner: Member) -> None:
+    """Check the fields of a runner that requests and peers depend on.
+
+    :raises UnusableEntry: if no request can be sent to it.
+    """
+    _check_name(runner.name)
+    try:
+        split_address(runner.address)
+    except SettingsFaulty as error:
+        raise _build_error(runner.name, error.reason) from error
+    if not runner.pool:
+        raise _build_error(runner.name, 'no service')
+    if not 0 <= runner.born <= _MAX_INTEGER:
+        raise _build_error(runner.name, f'start time {runner.born}')
+    if runner.slots > _MAX_SLOTS:
+        raise _build_error(runner.name, f'{runner.slots} slots')
 
 
 def decode_instance(record: KeyedRecord) -> Member:
@@ -72,10 +97,14 @@
 
     :raises UnusableEntry: if the entry is malformed.
     """
+    _check_name(record.key)
     try:
-        entry = msgspec.json.decode(record.content or b'', type=_Instance)
-    except msgspec.DecodeError as error:
-        raise UnusableEntry(f'{record.key}: {error}') from error
+        entry: _Instance = decode_json(record.content or b'', _Instance)
+        split_address(entry.address)
+    except (MalformedData, SettingsFaulty) as error:
+        raise _build_error(record.key, error.reason) from error
+    if not 0 <= entry.capacity < math.inf:
+        raise _build_error(record.key, f'capacity {entry.capacity}')
     return Member(
         name=record.key,
         address=entry.address,
@@ -107,12 +136,26 @@
     :raises UnusableEntry: if the entry is malformed.
     """
     try:
-        return msgspec.json.decode(record.content or b'', type=QuarantineEntry)
-    except msgspec.DecodeError as error:
-        raise UnusableEntry(f'{record.key}: {error}') from error
+        return decode_json(record.content or b'', QuarantineEntry)
+    except MalformedData as error:
+        raise _build_error(record.key, error.reason) from error
 
 
 def encode_quarantine(entry: QuarantineEntry) -> KeyedRecord:
     """Encode the entry of a quarantined prompt; a withdrawn one is removed."""
     content = msgspec.json.encode(entry) if entry.parts else None
     return KeyedRecord(f'{_QUARANTINE_PREFIX}{entry.key}', content)
+
+
+def _check_name(name: str) -> None:
+    """Check a name that is sent in headers.
+
+    :raises UnusableEntry: if it has other characters than printable ASCII ones.
+    """
+    printable = name.isascii() and name.isprintable()
+    if not name or not printable or ' ' in name:
+        raise UnusableEntry(f'{name!r} is not a name')
+
+
+def _build_error(name: str, reason: str) -> UnusableEntry:
+    return UnusableEntry(f'{name}: {reason[:_SHOWN_CHARACTERS]}')
