Read the store's records beside one that can't be decoded

What callers saw: requests sent to runners that had left. Cause: a record without a key, or an item of a list that is not base64 or of another type, made the whole answer unusable; the reader of the registry asked for the same offset again for ever. Change: records and items are decoded one by one; what is nested too deeply is left out of a list.

--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -2,15 +2,18 @@
 
 import base64
 import struct
-from typing import TypeVar
+from collections.abc import Iterable, Iterator
+from typing import Annotated, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
 from anvilhall.core.positions import UNREAD, Position
+from anvilhall.decoding import decode_items, decode_json
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
+    MalformedData,
     RecordsExpired,
     StoreRestored,
     UpstreamCut,
@@ -47,6 +50,7 @@
 _LENGTH = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
 
+_Offset = Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)]
 _Decoded = TypeVar('_Decoded')
 
 
@@ -70,18 +74,18 @@
     key: str
     #: Content of the record in base64.
     value: str = ''
-    offset: int = -1
+    offset: _Offset = -1
 
 
 class _Expired(msgspec.Struct):
     #: Offset of the oldest retained record.
-    first: int
+    first: _Offset
 
 
 class _NewestPage(msgspec.Struct):
-    items: list[_Item]
+    items: list[msgspec.Raw]
     truncated: bool
-    end: int
+    end: _Offset
 
 
 class StoreClient:
@@ -116,10 +120,11 @@
             if end is None:
                 end = Position(era, page.end)
             _check_era(topic, end, era)
-            records.extend(_decode_item(entry, era) for entry in page.items)
-            if not page.truncated or not page.items:
+            listed = list(_decode_page_items(topic, page.items, era))
+            records.extend(listed)
+            if not page.truncated or not listed:
                 return KeyedPage(tuple(records), end)
-            after = page.items[-1].key
+            after = listed[-1].key
 
     async def read(
         self,
@@ -147,7 +152,7 @@
                 f'offset {offset} of topic {topic} has expired'
             )
         _check_status(reply)
-        return _decode_records(reply.body, start)
+        return _decode_records(topic, reply.body, start)
 
     async def find_first(self, topic: str) -> Position:
         """Return the position of the oldest retained record.
@@ -263,20 +268,27 @@
 
 def _decode(body: bytes, kind: type[_Decoded]) -> _Decoded:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise LogUnavailable(f'malformed response: {error}') from error
+        return decode_items(body, kind)
+    except MalformedData as error:
+        raise LogUnavailable(f'malformed response: {error.reason}') from error
 
 
-def _decode_item(entry: _Item, era: int) -> KeyedRecord:
-    try:
-        content = base64.b64decode(entry.value)
-        position = Position(era, entry.offset)
-        return KeyedRecord(entry.key, content, position)
-    except ValueError as error:
-        raise LogUnavailable(
-            f'record {entry.key!r} is not base64: {error}'
-        ) from error
+def _decode_page_items(
+    topic: str, items: Iterable[msgspec.Raw], era: int
+) -> Iterator[KeyedRecord]:
+    """Decode the items of a list; those that can't be decoded are left out."""
+    for encoded in items:
+        try:
+            entry: _Item = decode_json(bytes(encoded), _Item)
+            content = base64.b64decode(entry.value)
+        except (MalformedData, ValueError) as error:
+            _log_unusable(topic, f'item of a list: {error}')
+        else:
+            yield KeyedRecord(entry.key, content, Position(era, entry.offset))
+
+
+def _log_unusable(topic: str, reason: str) -> None:
+    log_event('record_unusable', topic=topic, reason=reason)
 
 
 def _decode_offsets(body: bytes) -> tuple[int, int]:
@@ -289,7 +301,7 @@
     return end, first
 
 
-def _decode_records(body: bytes, start: Position) -> KeyedPage:
+def _decode_records(topic: str, body: bytes, start: Position) -> KeyedPage:
     _decode_offsets(body)
     records: list[KeyedRecord] = []
     index = _OFFSETS.size
@@ -306,16 +318,16 @@
             raise LogUnavailable(
                 f'response truncated after {len(records)} records',
             )
-        records.append(_decode_frame(body[content_start:index], end))
+        frame = body[content_start:index]
+        if frame and len(frame) > frame[0]:
+            records.append(_decode_frame(frame, end))
+        else:
+            _log_unusable(topic, f'no key at offset {end.offset}')
         end = Position(start.era, end.offset + 1)
     return KeyedPage(tuple(records), end)
 
 
 def _decode_frame(frame: bytes, position: Position) -> KeyedRecord:
-    if not frame or len(frame) <= frame[0]:
-        raise LogUnavailable(
-            f'the record at offset {position.offset} has no key',
-        )
     key_end = 1 + frame[0]
     key = frame[1:key_end].decode('utf-8', 'replace')
     return KeyedRecord(key, frame[key_end:] or None, position)
