Answer requests whose headers have numbers of any form

What callers saw: a connection closed without an answer, or 500. Cause: a superscript digit counts as a digit but is no number, more than 4,300 digits are not converted, and a deadline may be NaN or infinite; the errors of these were not expected where headers are read, neither from callers nor from upstreams that advertise a limit. Change: numbers are matched as ASCII digits of bounded length, deadlines must be finite. Conclusion: mended in both interfaces.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -39,6 +39,8 @@
 _CONTENT_TYPE = 'Content-Type'
 #: Longest idempotency key, in characters.
 _KEY_LIMIT = 255
+#: Digits of a declared length that are decoded or shown.
+_SHOWN_DIGITS = 18
 #: Longest deadline that a caller may set, in seconds.
 _DEADLINE_LIMIT_S = 86400.0
 #: Unsent response bytes above which a slow caller's request is cancelled.
@@ -199,9 +201,10 @@
         self._account = gate.tree.find_account(self._read_account_key())
         declared = self.request.headers.get('Content-Length', '0')
         limit = gate.tree.guards.body_bytes
-        if declared.isdigit() and int(declared) > limit:
+        if exceeds_limit(declared, limit):
             raise BodyTooLarge(
-                f'Content-Length is {declared}; the limit is {limit} bytes',
+                f'Content-Length is {declared[:_SHOWN_DIGITS]}; '
+                f'the limit is {limit} bytes',
             )
 
     def _read_account_key(self) -> str:
@@ -240,6 +243,14 @@
             self.refuse(error)
 
 
+def exceeds_limit(declared: str, limit: int) -> bool:
+    """Return whether a declared length is a number above a limit."""
+    if not declared.isascii() or not declared.isdecimal():
+        return False
+    digits = declared.lstrip('0')
+    return len(digits) > _SHOWN_DIGITS or int(digits or '0') > limit
+
+
 class HandlerSink:
     """Base of the sinks that write a job's result to the caller."""
 
--- a/src/anvilhall/platform/headers.py
+++ b/src/anvilhall/platform/headers.py
@@ -1,6 +1,7 @@
 """HTTP headers of relayed requests and of the responses of runners."""
 
 import math
+import re
 
 from tornado.httputil import HTTPHeaders
 
@@ -28,6 +29,10 @@
 #: Requests per second that a runner in need takes from all instances together.
 _RATE = 'Server-Limit'
 _MS_PER_S = 1000.0
+#: Number of tokens; longer ones exceed any prompt.
+_COUNT = re.compile(r'\d{1,12}', re.ASCII)
+#: Characters of a malformed header in an error message.
+_SHOWN_CHARACTERS = 80
 
 #: Headers that are never forwarded: hop-by-hop headers, and those that depend
 #: on the framing of the message.
@@ -148,7 +153,7 @@
         rate = math.nan
     if math.isfinite(rate) and rate >= 0:
         return rate
-    log_event('header_unusable', header=_RATE, content=text)
+    log_event('header_unusable', header=_RATE, content=text[:_SHOWN_CHARACTERS])
     return math.inf
 
 
@@ -157,24 +162,35 @@
     if text is None:
         return None
     try:
-        return float(text)
-    except ValueError as error:
-        raise MalformedRequest(f'{name} is not a number: {text!r}') from error
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
+        shown = text[:_SHOWN_CHARACTERS]
+        raise MalformedRequest(f'{name} is not a number: {shown!r}')
+    return number
+
+
+def _read_count(text: str) -> int | None:
+    return int(text) if _COUNT.fullmatch(text) else None
 
 
 def _read_tokens(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(',')
-    if not prompt.strip().isdigit() or not output.strip().isdigit():
+    prompt_tokens = _read_count(prompt.strip())
+    output_tokens = _read_count(output.strip())
+    if prompt_tokens is None or output_tokens is None:
         # A request without a valid header counts as a small one.
         return 1, 1
-    return int(prompt), int(output)
+    return prompt_tokens, output_tokens
 
 
 def _read_parts(text: str) -> tuple[tuple[str, int], ...]:
     parts: list[tuple[str, int]] = []
     for entry in text.split(','):
-        key, _, tokens = entry.strip().rpartition(':')
-        if not key or not tokens.isdigit():
+        key, _, size = entry.strip().rpartition(':')
+        tokens = _read_count(size)
+        if not key or tokens is None:
             break
-        parts.append((key, int(tokens)))
+        parts.append((key, tokens))
     return tuple(parts)
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -20,7 +20,11 @@
     ResponseStartLine,
 )
 
-from anvilhall.callers import REQUEST_ID_HEADER, encode_error
+from anvilhall.callers import (
+    REQUEST_ID_HEADER,
+    encode_error,
+    exceeds_limit,
+)
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.dialect import RequestHead
 from anvilhall.exceptions import (
@@ -57,6 +61,8 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     ),
 )
+#: Digits of a declared length in an error message.
+_SHOWN_DIGITS = 18
 #: Factor on the idle timeout of the settings. Callers reuse a connection until
 #: shortly before that timeout, so the server must close it later.
 _IDLE_MARGIN = 1.1
@@ -363,9 +369,9 @@
     def _check_length(self, headers: HTTPHeaders) -> None:
         declared = headers.get('Content-Length', '0')
         limit = self._context.settings.limits.body_bytes
-        if declared.isdigit() and int(declared) > limit:
+        if exceeds_limit(declared, limit):
             raise BodyTooLarge(
-                f'body of {declared} bytes, limit {limit}',
+                f'body of {declared[:_SHOWN_DIGITS]} bytes, limit {limit}',
             )
 
     def _release(self) -> None:
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -23,8 +23,8 @@
 #: Header of the IETF draft on rate limit fields, and a quota in it: ``q``
 #: requests in a window of ``w`` seconds.
 _POLICY = 'RateLimit-Policy'
-_QUOTA = re.compile(r'(?:^|;)\s*q=(\d+)\s*(?:;|$)')
-_WINDOW = re.compile(r'(?:^|;)\s*w=(\d+)\s*(?:;|$)')
+_QUOTA = re.compile(r'(?:^|;)\s*q=(\d{1,12})\s*(?:;|$)', re.ASCII)
+_WINDOW = re.compile(r'(?:^|;)\s*w=(\d{1,12})\s*(?:;|$)', re.ASCII)
 
 
 class Wire(Protocol):
