Read log, member list and chats beside what can't be decoded

What callers saw, in our own interface: settings and claims that were no longer read, instances or upstreams that were not found, 500 for a chat. Cause: as in the registry on the platform, deep nesting raises another error than malformed JSON, and one odd member made the whole list unusable; addresses and numbers of members were not checked. Change: the same decoder everywhere, also for events of upstreams, process settings and the command line; members are decoded and checked one by one. Conclusion: mended.

--- a/src/anvilhall/commands.py
+++ b/src/anvilhall/commands.py
@@ -17,7 +17,13 @@
 
 from anvilhall.core.policies import DEFAULT_POLICY
 from anvilhall.core.settings import Fault, JsonObject, SettingsFaulty
-from anvilhall.exceptions import AnvilhallError, PlatformError, UnknownName
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import (
+    AnvilhallError,
+    MalformedData,
+    PlatformError,
+    UnknownName,
+)
 from anvilhall.local import LocalConfig, split_address
 from anvilhall.logservice import HttpLogClient, LogClient
 from anvilhall.operators import Status
@@ -354,8 +360,8 @@
     call = Call(url=f'{url}/status', timeout_s=_STATUS_TIMEOUT_S)
     try:
         reply = await outbound.fetch(call)
-        return msgspec.json.decode(reply.body, type=Status)
-    except (AnvilhallError, msgspec.DecodeError):
+        return decode_json(reply.body, Status)
+    except AnvilhallError:
         return None
 
 
@@ -386,9 +392,9 @@
 
 def _read_file(path: pathlib.Path) -> JsonObject:
     try:
-        raw = msgspec.json.decode(path.read_bytes())
-    except msgspec.DecodeError as error:
-        _print_faults([Fault(path=str(path), reason=str(error))], False)
+        raw: object = decode_json(path.read_bytes(), object)
+    except MalformedData as error:
+        _print_faults([Fault(path=str(path), reason=error.reason)], False)
         sys.exit(EXIT_FAULTS)
     if not isinstance(raw, dict):
         reason = 'expected a JSON object of team settings by team path'
--- a/src/anvilhall/core/positions.py
+++ b/src/anvilhall/core/positions.py
@@ -1,7 +1,12 @@
 """Positions of records in a store that may come back from an older copy."""
 
+from typing import Annotated
+
 import msgspec
 
+#: Number of a record or era, which instances exchange as a 64-bit integer.
+Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class Position(msgspec.Struct, frozen=True, order=True):
     """Place of a record in a topic of a store.
--- a/src/anvilhall/events.py
+++ b/src/anvilhall/events.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from anvilhall.exceptions import UpstreamGarbled
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData, UpstreamGarbled
 
 #: Ends an event.
 SEPARATOR = b'\n\n'
@@ -135,9 +136,11 @@
     if not payload or payload == _DONE or event.startswith(_COMMENT):
         return _Chunk()
     try:
-        return msgspec.json.decode(payload, type=_Chunk)
-    except msgspec.DecodeError as error:
-        raise UpstreamGarbled(f'an event has invalid data: {error}') from error
+        return decode_json(payload, _Chunk)
+    except MalformedData as error:
+        raise UpstreamGarbled(
+            f'an event has invalid data: {error.reason}',
+        ) from error
 
 
 def _count_events(events: bytes) -> int:
--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -9,7 +9,8 @@
 from anvilhall import defaults
 from anvilhall.core.messages import Ask
 from anvilhall.core.settings import ClassSettings, Pool
-from anvilhall.exceptions import MalformedRequest
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData, MalformedRequest
 
 #: Limit on output tokens, if the caller sets none.
 _MAX_TOKENS = 1024
@@ -49,9 +50,9 @@
         :raises MalformedRequest: if it is not a chat completion request.
         """
         try:
-            fields = msgspec.json.decode(body, type=_Fields)
-        except msgspec.DecodeError as error:
-            raise MalformedRequest(str(error)) from error
+            fields = decode_json(body, _Fields)
+        except MalformedData as error:
+            raise MalformedRequest(error.reason) from error
         return cls(fields)
 
     @property
@@ -152,6 +153,6 @@
 
 def _decode_field(fields: _Fields, name: str, kind: Any) -> Any:
     try:
-        return msgspec.json.decode(fields.get(name, b'null'), type=kind)
-    except msgspec.DecodeError as error:
-        raise MalformedRequest(f'$.{name}: {error}') from error
+        return decode_json(bytes(fields.get(name, b'null')), kind)
+    except MalformedData as error:
+        raise MalformedRequest(f'$.{name}: {error.reason}') from error
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -11,6 +11,8 @@
 from anvilhall import defaults
 from anvilhall.core.policies import DEFAULT_POLICY
 from anvilhall.core.settings import Fault, SettingsFaulty
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData
 
 #: Address ``HOST:PORT``; the host is a name, an IPv4 address or an IPv6 address
 #: in brackets.
@@ -136,11 +138,11 @@
         :raises SettingsFaulty: if the file can't be read or is not valid.
         """
         try:
-            config = msgspec.json.decode(path.read_bytes(), type=cls)
+            config = decode_json(path.read_bytes(), cls)
         except OSError as error:
             raise _build_error(path, str(error)) from error
-        except msgspec.DecodeError as error:
-            raise _build_error(path, str(error)) from error
+        except MalformedData as error:
+            raise _build_error(path, error.reason) from error
         if config.platform is None and config.relay is None:
             raise _build_error(path, 'neither `platform` nor `relay` is given')
         return config
--- a/src/anvilhall/logservice.py
+++ b/src/anvilhall/logservice.py
@@ -5,10 +5,12 @@
 
 import msgspec
 
-from anvilhall.core.positions import Position
+from anvilhall.core.positions import Offset, Position
+from anvilhall.decoding import decode_items
 from anvilhall.exceptions import (
     AppendUncertain,
     LogUnavailable,
+    MalformedData,
     RecordsExpired,
     StoreRestored,
     UpstreamCut,
@@ -29,7 +31,7 @@
 class Record(msgspec.Struct, frozen=True):
     """One record of a stream."""
 
-    offset: int
+    offset: Offset
     body: Any
 
 
@@ -38,14 +40,14 @@
 
     records: tuple[Record, ...]
     #: Offset after the last record of the stream.
-    end: int
+    end: Offset
     #: Rises each time that the log comes back from an older copy.
-    era: int = 0
+    era: Offset = 0
 
 
 class _Appended(msgspec.Struct, frozen=True):
-    offset: int
-    era: int = 0
+    offset: Offset
+    era: Offset = 0
 
 
 class LogClient(Protocol):
@@ -153,8 +155,8 @@
 
 def _decode(reply: Reply, kind: type[_Decoded]) -> _Decoded:
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_items(reply.body, kind)
+    except MalformedData as error:
         raise LogUnavailable(
-            f'log answer cannot be decoded: {error}',
+            f'log answer cannot be decoded: {error.reason}',
         ) from error
--- a/src/anvilhall/memberlist.py
+++ b/src/anvilhall/memberlist.py
@@ -1,22 +1,39 @@
 """Clients of the platform's membership list."""
 
+import math
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 import msgspec
 
-from anvilhall.core.members import MemberList
+from anvilhall.core.members import Member, MemberList
+from anvilhall.core.settings import SettingsFaulty
+from anvilhall.decoding import decode_items, decode_json
 from anvilhall.exceptions import (
+    MalformedData,
     PlatformError,
+    UnusableEntry,
     UpstreamCut,
     UpstreamRefused,
     UpstreamStalled,
 )
+from anvilhall.local import split_address
+from anvilhall.logs import log_event
 from anvilhall.outbound import Call, Outbound
 from anvilhall.registry import Registry
 
 #: Timeout of one read of the list, in seconds.
 _CALL_TIMEOUT_S = 2.0
 _HTTP_OK = 200
+#: Largest integer that instances exchange.
+_MAX_INTEGER = 2**63 - 1
+_MAX_SLOTS = 2**31 - 1
+#: Characters of an error's reason in a log line.
+_SHOWN_CHARACTERS = 200
+
+
+class _Listing(msgspec.Struct):
+    members: list[msgspec.Raw]
 
 
 class MembershipClient(Protocol):
@@ -57,8 +74,52 @@
                 f'membership list answered with status {reply.status}',
             )
         try:
-            return msgspec.json.decode(reply.body, type=MemberList)
-        except msgspec.DecodeError as error:
+            listing: _Listing = decode_items(reply.body, _Listing)
+        except MalformedData as error:
             raise PlatformError(
-                f'membership list cannot be decoded: {error}',
+                f'membership list cannot be decoded: {error.reason}',
             ) from error
+        return MemberList(members=tuple(_decode_members(listing.members)))
+
+
+def check_member(member: Member) -> None:
+    """Check the fields that requests, links and peers depend on.
+
+    :raises UnusableEntry: if one is unusable.
+    """
+    name = member.name
+    printable = name.isascii() and name.isprintable()
+    # Names are sent in headers.
+    if not name or not printable or ' ' in name:
+        raise UnusableEntry(f'{name!r} is not a name')
+    try:
+        split_address(member.address)
+    except SettingsFaulty as error:
+        raise build_unusable(name, error.reason) from error
+    if not (
+        0 <= member.born <= _MAX_INTEGER
+        and 0 <= member.slots <= _MAX_SLOTS
+        and 0 <= member.capacity < math.inf
+    ):
+        raise build_unusable(
+            name,
+            f'started at {member.born}, {member.slots} slots, '
+            f'capacity {member.capacity}',
+        )
+
+
+def build_unusable(name: str, reason: str) -> UnusableEntry:
+    """Return the error of an entry, with the start of the reason."""
+    return UnusableEntry(f'{name}: {reason[:_SHOWN_CHARACTERS]}')
+
+
+def _decode_members(entries: Iterable[msgspec.Raw]) -> Iterator[Member]:
+    """Decode the members; those that can't be used are left out."""
+    for encoded in entries:
+        try:
+            member: Member = decode_json(bytes(encoded), Member)
+            check_member(member)
+        except (MalformedData, UnusableEntry) as error:
+            log_event('entry_unusable', reason=error.reason)
+        else:
+            yield member
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -1,15 +1,12 @@
 """Store entries of runners, and those that this system keeps for itself."""
 
-import math
-
 import msgspec
 
 from anvilhall.core.members import Member
 from anvilhall.core.quarantine import QuarantineEntry
-from anvilhall.core.settings import SettingsFaulty
 from anvilhall.decoding import decode_json
-from anvilhall.exceptions import MalformedData, UnusableEntry
-from anvilhall.local import split_address
+from anvilhall.exceptions import MalformedData
+from anvilhall.memberlist import build_unusable, check_member
 from anvilhall.platform.store import KeyedRecord
 
 _READY = 'ready'
@@ -17,11 +14,6 @@
 #: Prefix of the keys of quarantined prompts, which share the topic of the
 #: instances, so that one read returns both. Names of instances have no slash.
 _QUARANTINE_PREFIX = 'quarantine/'
-#: Characters of an error's reason in a log line.
-_SHOWN_CHARACTERS = 200
-#: Largest integer that instances exchange.
-_MAX_INTEGER = 2**63 - 1
-_MAX_SLOTS = 2**31 - 1
 
 
 class _Server(msgspec.Struct):
@@ -57,9 +49,9 @@
     try:
         server: _Server = decode_json(record.content or b'', _Server)
     except MalformedData as error:
-        raise _build_error(record.key, error.reason) from error
+        raise build_unusable(record.key, error.reason) from error
     if server.state not in {_READY, _DRAINING}:
-        raise _build_error(record.key, f'state {server.state!r}')
+        raise build_unusable(record.key, f'state {server.state!r}')
     runner = Member(
         name=record.key,
         address=server.address,
@@ -79,17 +71,9 @@
 
     :raises UnusableEntry: if no request can be sent to it.
     """
-    _check_name(runner.name)
-    try:
-        split_address(runner.address)
-    except SettingsFaulty as error:
-        raise _build_error(runner.name, error.reason) from error
+    check_member(runner)
     if not runner.pool:
-        raise _build_error(runner.name, 'no service')
-    if not 0 <= runner.born <= _MAX_INTEGER:
-        raise _build_error(runner.name, f'start time {runner.born}')
-    if runner.slots > _MAX_SLOTS:
-        raise _build_error(runner.name, f'{runner.slots} slots')
+        raise build_unusable(runner.name, 'no service')
 
 
 def decode_instance(record: KeyedRecord) -> Member:
@@ -97,21 +81,19 @@
 
     :raises UnusableEntry: if the entry is malformed.
     """
-    _check_name(record.key)
     try:
         entry: _Instance = decode_json(record.content or b'', _Instance)
-        split_address(entry.address)
-    except (MalformedData, SettingsFaulty) as error:
-        raise _build_error(record.key, error.reason) from error
-    if not 0 <= entry.capacity < math.inf:
-        raise _build_error(record.key, f'capacity {entry.capacity}')
-    return Member(
+    except MalformedData as error:
+        raise build_unusable(record.key, error.reason) from error
+    instance = Member(
         name=record.key,
         address=entry.address,
         failure_domain=entry.failure_domain,
         region=entry.region,
         capacity=entry.capacity,
     )
+    check_member(instance)
+    return instance
 
 
 def encode_instance(member: Member) -> KeyedRecord:
@@ -138,24 +120,10 @@
     try:
         return decode_json(record.content or b'', QuarantineEntry)
     except MalformedData as error:
-        raise _build_error(record.key, error.reason) from error
+        raise build_unusable(record.key, error.reason) from error
 
 
 def encode_quarantine(entry: QuarantineEntry) -> KeyedRecord:
     """Encode the entry of a quarantined prompt; a withdrawn one is removed."""
     content = msgspec.json.encode(entry) if entry.parts else None
     return KeyedRecord(f'{_QUARANTINE_PREFIX}{entry.key}', content)
-
-
-def _check_name(name: str) -> None:
-    """Check a name that is sent in headers.
-
-    :raises UnusableEntry: if it has other characters than printable ASCII ones.
-    """
-    printable = name.isascii() and name.isprintable()
-    if not name or not printable or ' ' in name:
-        raise UnusableEntry(f'{name!r} is not a name')
-
-
-def _build_error(name: str, reason: str) -> UnusableEntry:
-    return UnusableEntry(f'{name}: {reason[:_SHOWN_CHARACTERS]}')
