--- a/src/anvilhall/core/publication.py
+++ b/src/anvilhall/core/publication.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from anvilhall.core.positions import Position
+from anvilhall.core.positions import Offset, Position
 from anvilhall.core.settings import SettingsFaulty, TeamNode, decode_node
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import VersionConflict
@@ -42,7 +42,7 @@
     """Accepted settings of one team."""
 
     #: Number of publications accepted so far.
-    version: int
+    version: Offset
     node: dict[str, Any]
 
 
@@ -50,12 +50,12 @@
     """State after the records up to an offset, for readers that start late."""
 
     #: Offset of the last record that the snapshot covers.
-    covers: int
+    covers: Offset
     #: Offset of the last accepted publication.
-    version: int
+    version: Offset
     teams: dict[str, TeamState]
     #: Era of the log to which these offsets belong.
-    era: int = 0
+    era: Offset = 0
 
 
 class Recovery(msgspec.Struct, frozen=True, kw_only=True, tag='recovery'):
@@ -104,6 +104,7 @@
         'covers',
         'era',
         'recovery_fault',
+        'refused',
         'teams',
         'tree',
         'version',
@@ -118,6 +119,8 @@
         #: Reason why settings that were written back are invalid together with
         #: those of the log; empty: they are not.
         self.recovery_fault = ''
+        #: Reasons why records other than publications were ignored.
+        self.refused: list[str] = []
         self.covers = -1
         self.version = -1
         self.teams: dict[str, TeamState] = {}
@@ -142,9 +145,22 @@
             return []
         self._buffered[offset] = record
         if isinstance(record, Snapshot):
-            self.restore(record)
+            self._fold_snapshot(offset, record)
         return self._apply_buffered()
 
+    def _fold_snapshot(self, offset: int, snapshot: Snapshot) -> None:
+        """Restore a snapshot of the log unless it is invalid."""
+        if snapshot.covers >= offset:
+            reason = f'covers {snapshot.covers}, after its own offset'
+            self.refused.append(f'snapshot at offset {offset}: {reason}')
+            return
+        try:
+            self.restore(snapshot)
+        except SettingsFaulty as faulty:
+            self.refused.append(
+                f'snapshot at offset {offset}: {faulty.reason}',
+            )
+
     @property
     def next_offset(self) -> int:
         """Offset of the record to read next."""
@@ -179,11 +195,12 @@
         """Restore a snapshot, unless it covers no more than this state.
 
         :return: whether it was restored.
+        :raises SettingsFaulty: if its settings are invalid.
         """
         if snapshot.covers <= self.covers:
             return False
+        self.tree = _build_tree(snapshot.teams)
         self.teams = dict(snapshot.teams)
-        self.tree = _build_tree(self.teams)
         self.covers = snapshot.covers
         self.version = snapshot.version
         self._buffered = {
@@ -225,6 +242,9 @@
             tree = _build_tree(teams)
         except SettingsFaulty as faulty:
             self.recovery_fault = faulty.reason
+            self.refused.append(
+                f'recovery at offset {offset}: {faulty.reason}',
+            )
             return
         if newer:
             self.teams = teams
--- a/src/anvilhall/follower.py
+++ b/src/anvilhall/follower.py
@@ -26,7 +26,9 @@
     Verdict,
     decode_record,
 )
-from anvilhall.exceptions import PeerUnreachable
+from anvilhall.core.settings import SettingsFaulty
+from anvilhall.decoding import decode_json
+from anvilhall.exceptions import MalformedData, PeerUnreachable
 from anvilhall.fleet import Fleet
 from anvilhall.following import StreamReader, follow_stream
 from anvilhall.local import Timings
@@ -198,6 +200,8 @@
         version_before = self.state.version
         for record in page.records:
             self._apply_record(record)
+        while self.state.refused:
+            self._log_refusal('log', self.state.refused.pop())
         self._notify_change(version_before)
 
     def _apply_record(self, record: Record) -> None:
@@ -274,29 +278,40 @@
             era=max(0, self.state.era),
         )
 
-    def _handle_records(self, _: str, message: Message) -> None:
+    def _handle_records(self, sender: str, message: Message) -> None:
         if not isinstance(message, SettingsRecords):
             return
         if not self._shares_era(message.era):
             return
         version_before = self.state.version
         self.state.era = message.era
-        for index, encoded in enumerate(message.records):
-            body = msgspec.json.decode(encoded)
-            self._apply_record(Record(message.offset + index, body))
+        try:
+            for index, encoded in enumerate(message.records):
+                body = decode_json(encoded, object)
+                self._apply_record(Record(message.offset + index, body))
+        except MalformedData as error:
+            self._log_refusal(sender, error.reason)
         self._notify_change(version_before)
 
-    def _handle_offer(self, _: str, message: Message) -> None:
+    def _handle_offer(self, sender: str, message: Message) -> None:
         if not isinstance(message, SettingsOffer):
             return
         version_before = self.state.version
-        snapshot = msgspec.json.decode(message.snapshot, type=Snapshot)
-        if not self._shares_era(snapshot.era):
+        try:
+            snapshot: Snapshot = decode_json(message.snapshot, Snapshot)
+            if not self._shares_era(snapshot.era):
+                return
+            restored = self.state.restore(snapshot)
+        except (MalformedData, SettingsFaulty) as error:
+            self._log_refusal(sender, error.reason)
             return
-        if self.state.restore(snapshot):
+        if restored:
             self.state.era = snapshot.era
             self._notify_change(version_before)
 
+    def _log_refusal(self, source: str, reason: str) -> None:
+        log_event('settings_refused', source=source, reason=reason)
+
     def _build_offer(self) -> SettingsOffer:
         return SettingsOffer(msgspec.json.encode(self.state.take_snapshot()))
 
--- a/tests/test_odd_log.py
+++ b/tests/test_odd_log.py
@@ -2,10 +2,16 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from tornado.httputil import HTTPHeaders
 
 from anvilhall.core.ledger import CLAIMS_STREAM
+from anvilhall.core.messages import (
+    SettingsOffer,
+    SettingsRecords,
+    encode_message,
+)
 from anvilhall.core.publication import SETTINGS_STREAM
 from anvilhall.events import EventReader
 from anvilhall.exceptions import (
@@ -33,6 +39,24 @@
     'text': 'x',
     'list': [[[]]],
     'unknown kind': {'type': 'other'},
+    'faulty snapshot': {
+        'type': 'snapshot',
+        'covers': 0,
+        'version': 0,
+        'teams': {'': FAULTY_STATE},
+    },
+    'snapshot of the future': {
+        'type': 'snapshot',
+        'covers': 1_000_000,
+        'version': 1_000_000,
+        'teams': {},
+    },
+    'snapshot beyond 64 bits': {
+        'type': 'snapshot',
+        'covers': 2**70,
+        'version': 2**70,
+        'teams': {},
+    },
     'faulty recovery': {'type': 'recovery', 'teams': {'': FAULTY_STATE}},
     'faulty publication': {
         'type': 'publish',
@@ -68,6 +92,11 @@
     return {**root_json, 'class_defaults': {'deadline_s': deadline_s}}
 
 
+def _send(fleet, message):
+    frame = encode_message(message)
+    fleet.network.transmit('entry-0-1', 'entry-0-0', frame)
+
+
 def _list_deadlines(fleet):
     return {
         instance.gate.tree.classes['quick'].deadline_s
@@ -102,6 +131,53 @@
     run_fleet(scenario)
 
 
+# Guards against records of a peer of which one can't be decoded: those before
+# it were applied but did not come into force.
+def test_records_of_a_peer_before_an_odd_one_are_in_force(run_fleet):
+    async def scenario(fleet, root_json):
+        for instance in fleet.instances:
+            fleet.log.set_cut(instance, cut=True)
+        await asyncio.sleep(8.0)
+        fleet.publish('', 1, _with_deadline(root_json, 11))
+        published = fleet.log.streams[SETTINGS_STREAM][-1]
+        records = (msgspec.json.encode(published), DEEP)
+        message = SettingsRecords(1, records)
+        _send(fleet, message)
+        await asyncio.sleep(IN_FORCE_S)
+        assert _list_deadlines(fleet) == {11}
+
+    run_fleet(scenario)
+
+
+# Guards against a state of which only the teams and not the tree is replaced.
+@pytest.mark.parametrize(
+    'snapshot',
+    [
+        DEEP,
+        b'',
+        b'{"covers":9}',
+        msgspec.json.encode(
+            {
+                'type': 'snapshot',
+                'covers': 5,
+                'version': 5,
+                'teams': {'': FAULTY_STATE},
+            }
+        ),
+    ],
+)
+def test_odd_snapshot_of_a_peer_changes_nothing(run_fleet, snapshot):
+    async def scenario(fleet, root_json):
+        instance = fleet.instances['entry-0-0']
+        _send(fleet, SettingsOffer(snapshot))
+        fleet.publish('', 1, _with_deadline(root_json, 11))
+        await asyncio.sleep(IN_FORCE_S)
+        assert _list_deadlines(fleet) == {11}
+        assert instance.describe().teams == {'': 2}
+
+    run_fleet(scenario)
+
+
 # Guards against a deeply nested body or event that ends a request with an
 # internal error.
 def test_deep_chat_is_refused_or_its_stream_garbled():
