Begin no request that may not end before a planned stop

What callers saw: requests, orders among them, that were taken late in a planned stop, run, and cut at the end of the grace time without an answer. Cause: only the head of a request was checked against the stop; one whose body ended later, that got its slot later or was retried was sent to a runner whatever time was left. The times were constants, not the grace time of the platform. Ruled out: refusing all requests at SIGTERM, as the load balancer sends new ones for two more seconds. Change: before a request asks for a runner and before it is sent, its time limit must lie before the end of the grace time; while new requests are still accepted, an estimate is enough (95 in 100 of the last 64 of the route). What waits and can no longer begin is refused at once, 503 with Retry-After, not run. The grace time comes from the platform's settings.

--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -52,6 +52,8 @@
 _IDLE_TICK_S = 0.5
 #: Seconds between checks for open requests during a shutdown.
 _DRAIN_POLL_S = 0.05
+#: Seconds before the platform kills the process at which the last answers end.
+_STOP_MARGIN_S = 0.6
 
 
 class Gateway:
@@ -66,6 +68,7 @@
     """
 
     __slots__ = (
+        '_clock',
         '_config',
         '_draining',
         '_fleet',
@@ -94,6 +97,7 @@
         rng: random.Random | None = None,
     ) -> None:
         """Create all components without starting them."""
+        self._clock = clock
         self._config = config
         self._relay_config = relay_config
         self._draining = False
@@ -229,20 +233,25 @@
         """Shut down gracefully: requests in flight may complete.
 
         The load balancer takes seconds to notice that this instance is not
-        ready. New requests are served for ``linger_s``; after that, open
-        requests have ``drain_s`` to complete.
+        ready. New requests are accepted for ``linger_s``. From the beginning,
+        none is sent to a runner that could not end before the platform kills
+        the process.
         """
         self._draining = True
         log_event('draining', instance=self._config.instance)
+        relay = self._relay_config
+        stop_s = relay.grace_s - _STOP_MARGIN_S
+        linger_s = min(relay.linger_s, stop_s / 2)
+        now = self._clock.monotonic()
+        self.context.services.shutdown.stop_at = now + stop_s
         self._server.close_after_answers()
         self._fleet.leave()
-        relay = self._relay_config
-        await asyncio.sleep(relay.linger_s)
+        await asyncio.sleep(linger_s)
         # Connections that the kernel has accepted already are taken over first.
         await asyncio.sleep(0)
         self._server.stop()
         try:
-            async with asyncio.timeout(relay.drain_s):
+            async with asyncio.timeout(stop_s - linger_s):
                 await self._wait_drained()
         except TimeoutError:
             log_event('drain_timeout', open=self.context.open_requests)
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -95,8 +95,8 @@
     retry_slack: float = defaults.RETRY_BUDGET_MIN
     #: Seconds after SIGTERM during which new requests are still accepted.
     linger_s: float = 2.3
-    #: Seconds after that to wait for requests in flight.
-    drain_s: float = 5.1
+    #: Seconds after SIGTERM at which the platform kills the process.
+    grace_s: float = 8.0
 
 
 class LocalConfig(_Strict, frozen=True, kw_only=True):
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -82,7 +82,7 @@
         'closing',
         'idle',
         'measure_view_age_s',
-        'open_requests',
+        'open',
         'services',
     )
 
@@ -102,7 +102,13 @@
         #: connection. The references are weak, so that entries of connections
         #: that callers close disappear.
         self.idle: weakref.WeakSet[RelayRequest] = weakref.WeakSet()
-        self.open_requests = 0
+        #: Requests whose head has arrived and that have not ended.
+        self.open: set[RelayRequest] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self.open)
 
     @property
     def version(self) -> int:
@@ -194,7 +200,8 @@
         self._error: AnvilhallError | None = None
         self._response_started = False
         self._has_body = False
-        self._released = False
+        #: Whether the end of this instance cuts the request.
+        self._stopping = False
         self._host = ''
         self._path = ''
         #: Bytes written but not flushed to the socket yet.
@@ -204,7 +211,7 @@
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Route the request; refuse one with too large a body at once."""
         self._context.idle.discard(self)
-        self._context.open_requests += 1
+        self._context.open.add(self)
         self._connection.stream.set_nodelay(True)
         self._host = headers.get('Host', '')
         self._path = start_line.path
@@ -263,6 +270,23 @@
         else:
             self._release()
 
+    def refuse_if_late(self) -> None:
+        """Refuse the request if it waits and could no longer begin in time."""
+        if self._relay is None or not self._relay.waiting:
+            return
+        try:
+            self._relay.check_shutdown()
+        except ShuttingDown:
+            self.shut_down()
+
+    def shut_down(self) -> None:
+        """End the request with an error, as this instance stops."""
+        if self._task:
+            self._stopping = True
+            self._task.cancel()
+        elif not self._response_started:
+            self._refuse(ShuttingDown(retry_after_s=_NOT_READY_RETRY_S))
+
     def has_unread_bytes(self) -> bool:
         """Return whether the caller has sent bytes that were not read yet."""
         stream = self._connection.stream
@@ -324,8 +348,7 @@
             error = failure
             self._fail(failure, relay)
         except asyncio.CancelledError:
-            error = CallerGone()
-            metrics.failures.labels(error.code, job.route.name).inc()
+            error = self._end_cancelled(relay)
         except Exception as unexpected:  # noqa: BLE001
             # A bug in this program must not leave the caller without response.
             kind = type(unexpected).__name__
@@ -338,6 +361,19 @@
             self._release()
             self._log_end(job, relay, error)
 
+    def _end_cancelled(self, relay: Relay) -> AnvilhallError:
+        """Answer a cancelled request if this instance stops.
+
+        :return: the error with which it ended.
+        """
+        if self._stopping:
+            stopped = relay.build_stop_error()
+            self._fail(stopped, relay)
+            return stopped
+        gone = CallerGone()
+        self._count_error(gone)
+        return gone
+
     def _fail(self, error: AnvilhallError, relay: Relay) -> None:
         if not relay.response_started:
             self._refuse(error)
@@ -375,9 +411,7 @@
             )
 
     def _release(self) -> None:
-        if not self._released:
-            self._released = True
-            self._context.open_requests -= 1
+        self._context.open.discard(self)
 
     def _count_error(self, error: AnvilhallError) -> None:
         metrics = self._context.services.metrics
@@ -473,9 +507,17 @@
         """
         self._server.stop()
         self._context.closing = True
+        self._context.services.shutdown.closed = True
         for request in list(self._context.idle):
             if not request.has_unread_bytes():
                 request.close()
+        for waiting in list(self._context.open):
+            waiting.refuse_if_late()
+
+    def shut_down(self) -> None:
+        """Answer all open requests with an error, as this instance stops."""
+        for request in list(self._context.open):
+            request.shut_down()
 
     async def close(self) -> None:
         """Close all connections, also those with requests in flight."""
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from anvilhall.attempts import RelayAttempt
+from anvilhall.core.messages import Ask, Grant
 from anvilhall.core.retries import may_retry_relayed
 from anvilhall.events import EventFramer
 from anvilhall.exceptions import (
@@ -14,6 +15,7 @@
     DeadlineExceeded,
     DeadlinePassed,
     Outcome,
+    ShuttingDown,
     UpstreamFailed,
     UpstreamRefused,
 )
@@ -23,6 +25,9 @@
 
 #: Time left until the deadline, in seconds, below which no retry is made.
 _SEND_MARGIN_S = 0.005
+#: ``Retry-After`` of a request that this instance did not begin before its end,
+#: in seconds.
+_STOPPED_RETRY_S = 0.5
 
 
 class RelaySink(Protocol):
@@ -51,6 +56,7 @@
         'response_started',
         'runners',
         'sends',
+        'waiting',
         'waits_s',
     )
 
@@ -82,6 +88,8 @@
         self.waits_s: list[float] = []
         #: Attempts in which the request may have been sent.
         self.sends = 0
+        #: Whether the request waits for a runner.
+        self.waiting = False
 
     async def run(self) -> None:
         """Send the whole response to the sink.
@@ -118,25 +126,57 @@
             else:
                 return
 
-    async def _run_attempt(self) -> None:
+    def check_shutdown(self) -> None:
+        """Refuse to begin what may not end before this instance does.
+
+        :raises ShuttingDown: if the request must not be sent.
+        """
         job = self._job
-        now = self._services.clock.monotonic()
-        ask = job.build_ask(now, self._avoid)
+        self._services.shutdown.check(
+            job.route.name,
+            job.deadline_at,
+            self._services.clock.monotonic(),
+            repeatable=job.repeatable,
+        )
+
+    def build_stop_error(self) -> AnvilhallError:
+        """Return the error of a request that the end of this instance cuts."""
+        reason = 'this instance stops'
+        if self.response_started:
+            return AnswerCut(reason)
+        if self._may_have_run:
+            return UpstreamFailed(f'{reason}; the request may have run')
+        return ShuttingDown(reason, _STOPPED_RETRY_S)
+
+    async def _wait_for_grant(self, ask: Ask) -> Grant:
+        services = self._services
+        began = services.clock.monotonic()
+        self.waiting = True
         try:
-            grant = await PendingGrant().wait(self._services.broker, ask)
+            return await PendingGrant().wait(services.broker, ask)
         finally:
-            waited_s = self._services.clock.monotonic() - now
+            self.waiting = False
+            waited_s = services.clock.monotonic() - began
             self.waits_s.append(round(waited_s, 3))
-            self._services.metrics.grant_wait.labels(job.pool_name).observe(
-                waited_s,
-            )
+            services.metrics.grant_wait.labels(ask.pool).observe(waited_s)
+
+    async def _run_attempt(self) -> None:
+        job = self._job
+        self.check_shutdown()
+        now = self._services.clock.monotonic()
+        ask = job.build_ask(now, self._avoid)
+        grant = await self._wait_for_grant(ask)
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
         attempt = RelayAttempt(
             self, job, grant, self._services, repeated=repeated
         )
         try:
+            self.check_shutdown()
             await attempt.run(self._event_framer.last_id)
+            self._services.shutdown.note_duration(
+                job.route.name, attempt.measure_elapsed_s()
+            )
         except AnvilhallError as error:
             if error.outcome is not Outcome.NOT_RUN:
                 self._may_have_run = True
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -10,6 +10,7 @@
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import Route
 from anvilhall.core.settings import Pool
+from anvilhall.core.shutdown import Shutdown
 from anvilhall.dialect import Dialect, RequestHead
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Outbound
@@ -65,6 +66,11 @@
         self.pool: Pool
         self.pool_name = ''
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after its answer was cut."""
+        return self.route.idempotent or self.route.streaming
+
     def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
         """Return the message that asks the owner of the pool for a runner.
 
@@ -96,6 +102,7 @@
         'metrics',
         'outbound',
         'rng',
+        'shutdown',
     )
 
     def __init__(
@@ -116,3 +123,4 @@
         self.metrics = metrics
         self.budgets = budgets
         self.rng = rng
+        self.shutdown = Shutdown()
--- a/tests/site.py
+++ b/tests/site.py
@@ -144,6 +144,13 @@
         await gateway.start()
         return gateway
 
+    async def restart_with(self, **relay):
+        """Start the gateway ``g1`` again with other settings of its relay."""
+        self.gateways.pop('g1').close()
+        gateway = await self.add_gateway('g1', **relay)
+        await wait_until(lambda: gateway.ready)
+        return gateway
+
     def build_call(self, path, gateway='g1', key=KEY, **fields):
         """Return a caller's request with a unique identifier."""
         self._count += 1
