Answer what a stop cuts instead of closing its connection

What callers saw: a closed connection for requests that still ran, or whose body had not arrived, at the end of a planned stop; nothing told them whether to repeat. Cause: the open connections were closed as they were. Evidence: two new tests fail on the code before (an order that runs, a body that never ends) and pass now. Change: 0.6 s before the platform kills the process each open request ends with an error: 503 if it was not sent, 502 if it may have run; a begun response is cut, as before. Conclusion: mended.

--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -54,6 +54,8 @@
 _DRAIN_POLL_S = 0.05
 #: Seconds before the platform kills the process at which the last answers end.
 _STOP_MARGIN_S = 0.6
+#: Seconds for the errors of requests that are cut to reach their callers.
+_FLUSH_S = 0.1
 
 
 class Gateway:
@@ -235,7 +237,7 @@
         The load balancer takes seconds to notice that this instance is not
         ready. New requests are accepted for ``linger_s``. From the beginning,
         none is sent to a runner that could not end before the platform kills
-        the process.
+        the process; what is open then gets an error.
         """
         self._draining = True
         log_event('draining', instance=self._config.instance)
@@ -255,6 +257,8 @@
                 await self._wait_drained()
         except TimeoutError:
             log_event('drain_timeout', open=self.context.open_requests)
+            self._server.shut_down()
+            await asyncio.sleep(_FLUSH_S)
         await self._server.close()
         self.close()
         log_event('stopped', instance=self._config.instance)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -122,6 +122,41 @@
     asyncio.run(scenario())
 
 
+# Guards against a connection that is closed without an answer at the end.
+def test_request_that_runs_until_the_end_gets_an_error():
+    async def scenario():
+        async with run_site() as site:
+            runner = site.runners['desk-0']
+            runner.work_s = 30.0
+            await site.restart_with(grace_s=GRACE_S, linger_s=LINGER_S)
+            running = asyncio.ensure_future(site.fetch('/order/1'))
+            await wait_until(lambda: count_runs(site) == 1)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            stopping = _stop(site)
+            reply = await running
+            # It may have run, which 503 would deny.
+            assert reply.status == 502
+            assert loop.time() - began < GRACE_S
+            await stopping
+            assert loop.time() - began < GRACE_S
+
+    asyncio.run(scenario())
+
+
+# Guards against a connection that is closed without an answer at the end.
+def test_request_whose_body_never_ends_is_refused():
+    async def scenario():
+        async with run_site() as site:
+            await site.restart_with(grace_s=GRACE_S, linger_s=LINGER_S)
+            caller, stopping = await _open_stopping(site, '/order/1', 4000)
+            assert await caller.read_status() == 503
+            await stopping
+            assert count_runs(site) == 0
+
+    asyncio.run(scenario())
+
+
 # Guards against a retry that is begun and cut.
 def test_retry_late_in_the_grace_period_is_not_begun():
     async def scenario():
