Begin no request late in a stop of the own interface, and answer all

What callers saw, in our own interface: a request that was admitted before a planned stop and whose body ended late ran and was cut without an answer when the time for draining was over. Cause: as on the platform's interface, only the head was checked against the stop, and open connections were closed as they were. Evidence: 6 of 7 new cases fail on the code before (late orders and chats, a running order, a body that never ends); all pass now. Change: the same check before a grant is asked for and before the request is sent, with an estimate of the duration for requests that may be repeated; at the end each open request gets an error, 503 if it was not sent, 502 if it may have run.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -17,6 +17,7 @@
     AnvilhallError,
     BodyTooLarge,
     MalformedRequest,
+    ShuttingDown,
     UnknownAccount,
     UnknownPath,
 )
@@ -37,6 +38,9 @@
 _JSON = 'application/json'
 _EVENT_STREAM = 'text/event-stream'
 _CONTENT_TYPE = 'Content-Type'
+#: ``Retry-After`` of a request whose body had not arrived at the end of the
+#: instance, in seconds.
+_STOPPED_RETRY_S = 1.0
 #: Longest idempotency key, in characters.
 _KEY_LIMIT = 255
 #: Digits of a declared length that are decoded or shown.
@@ -62,7 +66,7 @@
 class CallerContext:
     """Dependencies shared by all request handlers."""
 
-    __slots__ = ('answer_cache', 'gate', 'services')
+    __slots__ = ('answer_cache', 'gate', 'open', 'services')
 
     def __init__(
         self,
@@ -74,6 +78,13 @@
         self.gate = gate
         self.services = services
         self.answer_cache = answer_cache
+        #: Requests that were admitted and have not ended.
+        self.open: set[CallerHandler] = set()
+
+    def shut_down(self) -> None:
+        """Answer all open requests with an error, as the instance stops."""
+        for handler in list(self.open):
+            handler.shut_down()
 
 
 @stream_request_body
@@ -91,6 +102,8 @@
         self._size = 0
         self._admitted = False
         self._task = None
+        #: Whether the end of this instance cuts the request.
+        self._stopping = False
         self._class_name = ''
         self.request_id = uuid.uuid4().hex
 
@@ -116,10 +129,20 @@
 
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
+        self.context.open.discard(self)
         if self._admitted:
             self._admitted = False
             self.context.gate.release()
 
+    def shut_down(self) -> None:
+        """End the request with an error, as this instance stops."""
+        if self._task:
+            self._stopping = True
+            self._task.cancel()
+        elif not self._finished:
+            self.set_header('Connection', 'close')
+            self.refuse(ShuttingDown(retry_after_s=_STOPPED_RETRY_S))
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Send an error response for a tornado error or an internal fault."""
         error = AnvilhallError()
@@ -155,7 +178,10 @@
         except AnvilhallError as error:
             self._send_failure(error, sink)
         except asyncio.CancelledError:
-            self.context.gate.count_disconnect(self._class_name)
+            if self._stopping:
+                self._send_failure(execution.build_stop_error(), sink)
+            else:
+                self.context.gate.count_disconnect(self._class_name)
 
     def build_job(self, job_path: str) -> Job:
         """Return the job for this request; its body is not parsed yet.
@@ -198,6 +224,7 @@
         gate = self.context.gate
         gate.admit()
         self._admitted = True
+        self.context.open.add(self)
         self._account = gate.tree.find_account(self._read_account_key())
         declared = self.request.headers.get('Content-Length', '0')
         limit = gate.tree.guards.body_bytes
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -14,6 +14,7 @@
 from anvilhall.core.ledger import Claim
 from anvilhall.core.messages import Ask, Grant, Progress, Release
 from anvilhall.core.retries import RetryBudget, draw_backoff_s, may_retry
+from anvilhall.core.shutdown import Shutdown
 from anvilhall.events import (
     DONE_EVENT,
     Answer,
@@ -27,6 +28,7 @@
     DeadlinePassed,
     Outcome,
     Paused,
+    ShuttingDown,
     UpstreamCut,
     UpstreamFailed,
     UpstreamGarbled,
@@ -50,6 +52,9 @@
 #: Gap between chunks, in seconds, from which on progress is reported early;
 #: also the least time between early reports.
 _LONG_GAP_S = 0.1
+#: ``Retry-After`` of a request that this instance did not begin before its end,
+#: in seconds.
+_STOPPED_RETRY_S = 1.0
 #: Lower bound of a measured time to first token, in seconds; 0 in a report
 #: means that no token has arrived.
 _MIN_FIRST_TOKEN_S = 0.0001
@@ -76,6 +81,7 @@
         'outbound',
         'retry_budget',
         'rng',
+        'shutdown',
     )
 
     def __init__(
@@ -95,6 +101,7 @@
         self.metrics = metrics
         self.retry_budget = RetryBudget(defaults.RETRY_BUDGET_SHARE)
         self.rng = rng
+        self.shutdown = Shutdown()
 
 
 class Execution:
@@ -166,7 +173,30 @@
             )
             await asyncio.sleep(backoff_s)
 
+    def check_shutdown(self) -> None:
+        """Refuse to begin what may not end before this instance does.
+
+        :raises ShuttingDown: if the request must not be sent.
+        """
+        job = self._job
+        self._services.shutdown.check(
+            job.class_name,
+            job.deadline_at,
+            self._services.clock.monotonic(),
+            repeatable=job.retryable,
+        )
+
+    def build_stop_error(self) -> AnvilhallError:
+        """Return the error of a request that the end of this instance cuts."""
+        reason = 'this instance stops'
+        if self._delivered:
+            return AnswerCut(reason)
+        if self._may_have_run:
+            return UpstreamFailed(f'{reason}; the request may have run')
+        return ShuttingDown(reason, _STOPPED_RETRY_S)
+
     async def _attempt(self) -> None:
+        self.check_shutdown()
         pending_grant = PendingGrant()
         ask = self._build_ask()
         grant = await pending_grant.wait(self._services.broker, ask)
@@ -178,9 +208,7 @@
         )
         self._runners.add(grant.runner)
         try:
-            await self._claim_key()
-            pending_grant.abort_on_pause(attempt.transfer)
-            await self._transfer(attempt)
+            await self._send(attempt, pending_grant)
         except asyncio.CancelledError:
             self._may_have_run = self._may_have_run or attempt.transfer.sent
             raise
@@ -201,6 +229,14 @@
         finally:
             attempt.close()
 
+    async def _send(
+        self, attempt: '_Attempt', pending_grant: PendingGrant
+    ) -> None:
+        self.check_shutdown()
+        await self._claim_key()
+        pending_grant.abort_on_pause(attempt.transfer)
+        await self._transfer(attempt)
+
     def _record_failure(
         self,
         attempt: '_Attempt',
@@ -243,6 +279,9 @@
             reply = await attempt.exchange(self._wire)
             self._sink.write_reply(reply)
         attempt.served = True
+        self._services.shutdown.note_duration(
+            self._job.class_name, attempt.measure_elapsed_s()
+        )
         if self._claim:
             self._services.claims.settle(self._claim, ran=True)
             self._claim = None
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -41,6 +41,8 @@
 #: Seconds for which the load balancer may still send requests after the
 #: instance has stopped being ready.
 _LINGER_S = 0.2
+#: Seconds for the errors of requests that are cut to reach their callers.
+_FLUSH_S = 0.1
 
 
 class Dependencies:
@@ -99,6 +101,7 @@
     """
 
     __slots__ = (
+        '_callers',
         '_claims',
         '_config',
         '_fleet',
@@ -152,6 +155,9 @@
             self.metrics,
             dependencies.rng,
         )
+        self._callers = CallerContext(
+            self.gate, self.services, self.answer_cache
+        )
         self._servers: list[HTTPServer] = []
         self._tasks = TaskSet(self.metrics)
 
@@ -163,9 +169,8 @@
     async def start(self) -> None:
         """Listen and start the periodic tasks."""
         await self._fleet.listen()
-        context = CallerContext(self.gate, self.services, self.answer_cache)
         listen = self._config.listen
-        self._serve(build_caller_app(context), listen.callers)
+        self._serve(build_caller_app(self._callers), listen.callers)
         self._serve(
             build_operator_app(self.gate, self.metrics, self.describe),
             listen.operators,
@@ -184,16 +189,25 @@
         tasks.repeat(self._tick, _TICK_S)
 
     async def stop(self) -> None:
-        """Refuse new requests, hand shards over, drain those in flight."""
+        """Refuse new requests, hand shards over, drain those in flight.
+
+        No request is sent to a runner that could not end in time; what is open
+        at the end gets an error.
+        """
         self.gate.draining = True
         log_event('draining', instance=self._config.instance)
+        drain_s = self._config.timings.drain_timeout_s
+        clock = self.services.clock
+        self.services.shutdown.stop_at = clock.monotonic() + _LINGER_S + drain_s
         await asyncio.sleep(_LINGER_S)
         self._fleet.leave()
         try:
-            async with asyncio.timeout(self._config.timings.drain_timeout_s):
+            async with asyncio.timeout(drain_s):
                 await self._wait_drained()
         except TimeoutError:
             log_event('drain_timeout', open=self.gate.open_requests)
+            self._callers.shut_down()
+            await asyncio.sleep(_FLUSH_S)
         self.close()
         log_event('stopped', instance=self._config.instance)
 
--- /dev/null
+++ b/tests/test_planned_stop_own.py
@@ -0,0 +1,126 @@
+"""Planned stops of an instance of the own interface."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from tests.cluster import TIMINGS, build_chat, open_cluster, wait_for
+
+DRAIN_S = 1.5
+SHORT_DRAIN = msgspec.structs.replace(TIMINGS, drain_timeout_s=DRAIN_S)
+#: Seconds that a stop may take beyond the time for draining.
+TOLERANCE_S = 0.8
+ORDER = ('/services/desk/orders/1', 'order', b'{}')
+CHAT = ('/v1/chat/completions', 'quick', build_chat('hello', 5))
+
+
+class _Caller:
+    """A caller that sends the head of a request, and the body when told."""
+
+    def __init__(self, cluster, request, deadline_s):
+        path, class_name, self._body = request
+        self._port = cluster.ports['last']
+        lines = (
+            f'POST {path} HTTP/1.1',
+            'Host: a',
+            'Authorization: Bearer ann',
+            f'Anvilhall-Class: {class_name}',
+            f'Anvilhall-Deadline-Seconds: {deadline_s}',
+            f'Content-Length: {len(self._body)}',
+        )
+        self._head = '\r\n'.join((*lines, '', '')).encode()
+
+    async def send_head(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            '127.0.0.1', self._port
+        )
+        self._writer.write(self._head)
+
+    def send_body(self):
+        self._writer.write(self._body)
+
+    async def read_status(self):
+        async with asyncio.timeout(10):
+            line = await self._reader.readline()
+        return int(line.split()[1]) if line else 0
+
+
+def _run_stop(node, scenario):
+    """Run a scenario on an instance that has a short time for draining."""
+
+    async def start():
+        async with open_cluster(node) as cluster:
+            last = await cluster.add_instance('last', timings=SHORT_DRAIN)
+            await cluster.wait_ready()
+            await scenario(cluster, last)
+
+    asyncio.run(start())
+
+
+async def _open(cluster, instance, request, deadline_s):
+    caller = _Caller(cluster, request, deadline_s)
+    await caller.send_head()
+    await wait_for(lambda: instance.gate.open_requests)
+    return caller
+
+
+# Guards against a request whose body ends late in a planned stop, which is
+# passed on and cut without an answer.
+@pytest.mark.parametrize('request_', [ORDER, CHAT])
+@pytest.mark.parametrize('late_s', [0.3, 1.2])
+def test_late_body_of_a_long_request_is_refused_unrun(
+    root_json, request_, late_s
+):
+    async def scenario(cluster, last):
+        caller = await _open(cluster, last, request_, 30)
+        stopping = asyncio.ensure_future(last.stop())
+        await asyncio.sleep(late_s)
+        caller.send_body()
+        assert await caller.read_status() == 503
+        await stopping
+        assert not cluster.books['desk-0'].runs
+
+    _run_stop(root_json, scenario)
+
+
+# Guards against refusals of requests that are certain to end in time.
+def test_late_body_of_a_short_request_is_served(root_json):
+    async def scenario(cluster, last):
+        caller = await _open(cluster, last, ORDER, 0.8)
+        stopping = asyncio.ensure_future(last.stop())
+        await asyncio.sleep(0.3)
+        caller.send_body()
+        assert await caller.read_status() == 200
+        await stopping
+
+    _run_stop(root_json, scenario)
+
+
+# Guards against a connection that is closed without an answer at the end.
+def test_request_that_runs_until_the_end_gets_an_error(root_json):
+    async def scenario(cluster, last):
+        cluster.books['desk-0'].work_s = 30.0
+        caller = await _open(cluster, last, ORDER, 30)
+        caller.send_body()
+        await wait_for(lambda: last.describe().open_requests)
+        await asyncio.sleep(0.3)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        stopping = asyncio.ensure_future(last.stop())
+        assert await caller.read_status() == 502
+        await stopping
+        assert loop.time() - began < DRAIN_S + TOLERANCE_S
+
+    _run_stop(root_json, scenario)
+
+
+# Guards against a connection that is closed without an answer at the end.
+def test_request_whose_body_never_ends_is_refused(root_json):
+    async def scenario(cluster, last):
+        caller = await _open(cluster, last, ORDER, 30)
+        stopping = asyncio.ensure_future(last.stop())
+        assert await caller.read_status() == 503
+        await stopping
+
+    _run_stop(root_json, scenario)
