Accept a tenant that lists a key twice

What callers saw: refusals as an older version says, for good, after a version in which a key stands twice among one tenant's. Cause: the second one was taken for another tenant's key, and the whole version was refused. Change: keys of a tenant are a set. Conclusion: mended; found by publishing versions with unusual values.

--- a/src/anvilhall/platform/settings.py
+++ b/src/anvilhall/platform/settings.py
@@ -173,7 +173,10 @@
         classes=_build_classes(manifest.routes),
         accounts={
             tenant.name: Account(
-                key_sha256=tuple(hash_key(key) for key in tenant.api_keys),
+                # A key that is listed twice is one key.
+                key_sha256=tuple(
+                    dict.fromkeys(hash_key(key) for key in tenant.api_keys)
+                ),
                 tier=tenant.priority,
             )
             for tenant in manifest.tenants
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -27,6 +27,7 @@
     'provider.address|json': '"10.0.0.9:8742"',
     'bounds.retry_budget_ratio|json': '0.2',
     'bounds.retry_slack|json': '54',
+    'bounds.grace_s|json': '8',
 }
 
 
