Refuse settings with values that nothing can be calculated with

What callers saw: nothing yet; found by publishing versions with extreme values. Cause: numbers were taken whatever they were: a limit of no header bytes, an idle time of 0 or 1e300 ms, negative weights and slots, numbers beyond 64 bits, and a path prefix that can match no path. Such a version came into force, some in part only, and no request was served any more. Change: ranges for all numbers, a pattern for prefixes, a share above 0 for routes with several services. Unknown kinds of routes and unknown fields are still accepted. Conclusion: mended.

--- a/src/anvilhall/platform/settings.py
+++ b/src/anvilhall/platform/settings.py
@@ -37,39 +37,47 @@
 
 #: Number of a version, which instances exchange as a 64-bit integer.
 _VersionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+#: Times in milliseconds and numbers that calculations can bear.
+_Duration = Annotated[float, msgspec.Meta(gt=0, le=1e10)]
+_Objective = Annotated[float, msgspec.Meta(ge=0, le=1e10)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=1e10)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Positive = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Prefix = Annotated[str, msgspec.Meta(pattern=r'^/(.*/)?$')]
 
 
 class _Share(msgspec.Struct):
     service: str
-    weight: float = 0.0
+    weight: _Weight = 0.0
 
 
 class _Route(msgspec.Struct):
     name: str
     host: str
-    path_prefix: str
+    path_prefix: _Prefix
     kind: str = 'non_idempotent'
-    timeout_ms: float = 30_000.0
+    timeout_ms: _Duration = 30_000.0
     #: Objective for the time to the first event of a stream, or to the complete
     #: response of any other request.
-    slo_ms: float = 1000.0
-    priority: int = 5
+    slo_ms: _Objective = 1000.0
+    priority: _Count = 5
     service: str = ''
     traffic_split: list[_Share] = []
-    attempts: int = 1
+    attempts: Annotated[int, msgspec.Meta(le=2**31 - 1)] = 1
     public: bool = False
     resumable: bool = False
     #: Objective for the longest gap between events of a stream; 0: none.
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: _Objective = 0.0
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 16
+    slots: _Positive = 16
     #: Memory of the engine in tokens, shared by running requests and the prefix
     #: cache.
-    kv_tokens: int = 0
+    kv_tokens: _Tokens = 0
     #: Output tokens per event of a stream.
-    stride: int = 1
+    stride: _Count = 1
 
 
 class _Service(msgspec.Struct):
@@ -81,13 +89,13 @@
     name: str
     api_keys: list[str] = []
     #: Overrides the priority of a route.
-    priority: int | None = None
+    priority: _Count | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    idle_timeout_ms: float = 60_000.0
+    max_header_bytes: _Positive = 16 * 1024
+    max_body_bytes: _Count = 4 * 1024 * 1024
+    idle_timeout_ms: _Duration = 60_000.0
 
 
 class _Manifest(msgspec.Struct):
@@ -123,6 +131,8 @@
         tree = _build_tree(manifest)
     except SettingsFaulty as faulty:
         raise SettingsError(faulty.reason) from faulty
+    for each in manifest.routes:
+        _check_shares(each)
     routes = tuple(_build_route(route) for route in manifest.routes)
     limits = RequestLimits(
         header_bytes=manifest.limits.max_header_bytes,
@@ -145,6 +155,16 @@
         raise SettingsError(f'malformed manifest: {error.reason}') from error
 
 
+def _check_shares(route: _Route) -> None:
+    """Check that a route with several services may choose one.
+
+    :raises SettingsError: if no share is above 0.
+    """
+    shares = route.traffic_split
+    if shares and not any(share.weight for share in shares):
+        raise SettingsError(f'route {route.name!r}: no share is above 0')
+
+
 def _build_route(route: _Route) -> Route:
     if route.traffic_split:
         pools = tuple(
