Continue a stream only with an answer of its content type

Cause: after a stream had begun, only the status of the next answer was checked. Evidence: the new test fails on the code before ('no stream' after the first event) and passes now; the 33 other statuses pass as before. Change: an answer continues a response only if it has the content type with which that began. Conclusion: mended; what a runner sends as a stream of its own is believed.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -39,6 +39,8 @@
 #: eight tiers.
 _RANKED_TIERS = 2
 _RANKS_PER_TIER = 2
+#: Characters of a header in an error message.
+_SHOWN_CHARACTERS = 80
 #: Seconds for which an idle connection to a runner may be reused.
 _IDLE_LIMIT_S = 2
 
@@ -50,6 +52,8 @@
     response_started: bool
     #: Previous attempts in which the request may have been sent.
     sends: int
+    #: Content type of the response; empty before it has started.
+    content_type: str
 
     def handle_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of the response, unless an attempt has already."""
@@ -233,6 +237,8 @@
                 not_run=answer.not_run,
                 sealed=answer.sealed,
             )
+        if self._problem is None:
+            self._problem = self._check_content_type(headers)
         if self._problem:
             self.transfer.abort()
             return
@@ -282,6 +288,19 @@
             return UpstreamGarbled("the response lacks the runner's signature")
         return None
 
+    def _check_content_type(
+        self, headers: HTTPHeaders
+    ) -> AnvilhallError | None:
+        """Return the failure if an answer does not continue the response."""
+        begun = self._listener.content_type
+        given = headers.get('Content-Type', '')
+        if self._listener.response_started and given != begun:
+            return UpstreamGarbled(
+                f'the answer has content type {given[:_SHOWN_CHARACTERS]!r}, '
+                f'the response that it continues {begun!r}',
+            )
+        return None
+
     def _check_server_error(self, status: int) -> AnvilhallError | None:
         """Return the failure to raise, or ``None`` to forward the response.
 
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -51,6 +51,7 @@
         '_may_have_run',
         '_services',
         '_sink',
+        'content_type',
         'first_event_s',
         'longest_gap_s',
         'response_started',
@@ -78,6 +79,8 @@
         self._delivered = False
         #: Whether a part of the response has been sent to the caller.
         self.response_started = False
+        #: Content type of the response; empty before it has started.
+        self.content_type = ''
         #: Seconds from the arrival of the request to the first chunk of its
         #: response; 0 before that.
         self.first_event_s = 0.0
@@ -200,6 +203,7 @@
         if self.response_started:
             return
         self.response_started = True
+        self.content_type = headers.get('Content-Type', '')
         passed = self._services.dialect.filter_response_headers(headers)
         if self._job.route.streaming:
             # The stream may be resumed on another runner, which changes its
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -17,6 +17,7 @@
 ``busy``: run the request and respond with 503, without that statement.
 ``error``: run the request and respond with 500.
 ``status-N``: run the request and respond with status N.
+``page``: run the request and respond with 200 and a body with blank lines.
 ``close-N``: run the request and close after N bytes of the response;
     ``chunked-N`` and ``bare-N``: the same for a plain response in chunks, and
     for one without length.
@@ -296,6 +297,8 @@
             return False
         if status:
             self._respond(writer, request, status, b'failed')
+        elif behaviour == 'page':
+            self._respond(writer, request, 200, b'no\n\nstream\n\n')
         elif behaviour == 'foreign':
             self._respond(writer, request, 200, b'foreign', request_id='other')
         elif self.events:
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -96,6 +96,20 @@
     asyncio.run(scenario())
 
 
+# Guards against a page with status 200 in the middle of a stream.
+def test_page_of_the_next_runner_is_no_part_of_a_begun_stream():
+    async def scenario():
+        async with run_site(engines=1, events=3) as site:
+            runner = site.runners['llm-0']
+            runner.cut_after = 1
+            runner.behaviours.extend(['', 'page'])
+            reply = await fetch_or_cut(site, '/chat/1')
+            assert reply is None or reply.body == EVENTS
+            assert not runner.behaviours
+
+    asyncio.run(scenario())
+
+
 # Guards against the text of an error within a stream, and against a stream that
 # ends as if it were complete.
 @pytest.mark.parametrize('status', STATUSES)
