Free the slots of requests that an inventory no longer lists

What callers saw: requests that waited 60 s for slots that nobody used, after an owner had been suspended and resumed. Cause: releases that are sent while the links are down are lost, and the inventory after the reconnect only added requests. A new test keeps what was granted within the last second, as that grant may be on its way. Ruled out: freeing at the link's end, which would grant the slots of running requests again. Change: an inventory releases the sender's other requests in the shard that are older than a second.

--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -279,6 +279,8 @@
 def _adopt_inventory(
     shard: Shard, sender: str, inventory: Inventory, now: float
 ) -> None:
+    held_ids = {held.request_id for held in inventory.held}
+    shard.keep_only(sender, held_ids, now)
     for held in inventory.held:
         shard.adopt(sender, held, now)
     for read in inventory.reads:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -7,7 +7,7 @@
 
 import datetime as dt
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -47,6 +47,8 @@
 #: this many seconds. It is about the time that a stream holds its slot, so
 #: that a slot freed meanwhile does not go to another low-priority request.
 _EXPIRY_HOLD_S = 1.5
+#: Longest time in seconds that a grant takes to reach its instance.
+_GRANT_TRANSIT_S = 1.0
 #: Largest share of all granted tokens that may be prefilled a second time
 #: because of pauses.
 _MAX_REPREFILL_SHARE = 0.005
@@ -65,6 +67,7 @@
     __slots__ = (
         '_admission',
         '_granted_tokens',
+        '_placed_at',
         '_policy',
         '_pool',
         '_pool_name',
@@ -104,6 +107,8 @@
         self._admission = Admission()
         #: Entry instance of each waiting or running request, by request id.
         self._senders: dict[str, str] = {}
+        #: Monotonic time at which each running request was granted or adopted.
+        self._placed_at: dict[str, float] = {}
         #: Monotonic time of the latest expiry in the queue, by tier and rank.
         self._expired_at: dict[tuple[int, int], float] = {}
         #: Requests that were asked to pause and have not been released yet.
@@ -288,6 +293,7 @@
             assignment.priority = _get_priority(settings)
             assignment.latency_targets = _build_latency_targets(settings)
         assignment.predicted_s = 1.0
+        self._placed_at[held.request_id] = now
         runner.adopt_assignment(assignment)
         self.screening.note_grant(held.request_id, held.parts)
         if held.tokens:
@@ -295,6 +301,35 @@
         self._senders[held.request_id] = sender
         self._admission.adopt(held.account, held.class_name)
 
+    def keep_only(
+        self, sender: str, request_ids: Container[str], now: float
+    ) -> None:
+        """Release the requests of an instance that it no longer runs.
+
+        Their releases were lost. Grants may still be on their way to it, so
+        those of the last moments are kept.
+
+        :param request_ids: requests that run on the instance.
+        """
+        oldest = now - _GRANT_TRANSIT_S
+        ended = [
+            assignment.request_id
+            for runner in self.runners.values()
+            for assignment in runner.assignments.values()
+            if self._placed_at.get(assignment.request_id, now) < oldest
+            and assignment.request_id not in request_ids
+            and self._senders.get(assignment.request_id) == sender
+        ]
+        for request_id in ended:
+            self.release(
+                Release(
+                    pool=self._pool_name,
+                    request_id=request_id,
+                    served=False,
+                ),
+                now,
+            )
+
     def adopt_read(self, read: Read) -> None:
         """Mark a prompt as cached by the runner that has read it.
 
@@ -383,7 +418,11 @@
                 continue
             queued = queue.peek()
             assignment = _build_assignment(queued)
-            reserved = self._count_reserved_slots(assignment.tier, wall)
+            reserved = 0
+            if self._policy.reserve:
+                reserved = _count_reserved_slots(
+                    self._pool, self._tree, assignment.tier, wall
+                )
             runner = self.roster.choose_runner(
                 queued.ask, assignment, reserved, now
             )
@@ -427,6 +466,7 @@
     ) -> Action:
         queued = self._queue.pop(queue, now)
         runner.add_assignment(assignment, queued.ask, now)
+        self._placed_at[queued.ask.request_id] = now
         self.screening.note_grant(queued.ask.request_id, queued.ask.part_names)
         self._granted_tokens += queued.cost_tokens
         grant = self._build_grant(runner, assignment)
@@ -464,17 +504,6 @@
         sender = self._senders.get(victim.request_id, '')
         return [Action(sender, Pause(victim.request_id))]
 
-    def _count_reserved_slots(self, tier: int, wall: dt.datetime) -> int:
-        if not self._policy.reserve:
-            return 0
-        schedules = self._tree.schedules if self._pool.reserves else {}
-        return sum(
-            reserve.slots_per_runner
-            for reserve in self._pool.reserves
-            if tier > reserve.tier
-            and is_active(schedules[reserve.schedule], wall)
-        )
-
     def _release_ask(self, ask: Ask) -> None:
         self._release_request(ask.request_id, ask.account, ask.class_name)
 
@@ -483,10 +512,23 @@
     ) -> None:
         self.paused.discard(request_id)
         self._senders.pop(request_id, None)
+        self._placed_at.pop(request_id, None)
         self.screening.forget(request_id)
         self._admission.release(account, class_name)
 
 
+def _count_reserved_slots(
+    pool: Pool, tree: Tree, tier: int, wall: dt.datetime
+) -> int:
+    """Return how many slots of a runner requests of a tier may not use."""
+    schedules = tree.schedules if pool.reserves else {}
+    return sum(
+        reserve.slots_per_runner
+        for reserve in pool.reserves
+        if tier > reserve.tier and is_active(schedules[reserve.schedule], wall)
+    )
+
+
 def _may_pause(assignment: Assignment, tree: Tree) -> bool:
     settings = tree.classes.get(assignment.class_name)
     if settings is None:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -270,3 +270,19 @@
     clock.advance(2)
     owner.handle('e1', Inventory('desk', ()))
     assert not owner.get_shard('desk').running_count
+
+
+# Guards against freeing the slot of a request whose grant is on its way to the
+# instance as that sends its inventory.
+def test_inventory_keeps_requests_that_were_just_granted(clock, tree):
+    owner = Owner(clock, lambda instance, message: None)
+    owner.set_tree(tree)
+    owner.set_endpoints('desk', [RunnerEndpoint('r1', 'a:1')])
+    owner.take_over('desk', ())
+    owner.handle('e1', Ask('desk', 'q1', 'lookup', 'ann', 1, 1, 10.0))
+    clock.advance(0.5)
+    owner.handle('e1', Inventory('desk', ()))
+    assert owner.get_shard('desk').running_count == 1
+    clock.advance(2)
+    owner.handle('e2', Inventory('desk', ()))
+    assert owner.get_shard('desk').running_count == 1
