Share the late caller of the tests of stops; name what a cut may leave

Cause: two test modules had the same caller, and the parameter of the check at a stop named something else than it decided. No behaviour changes.

--- a/src/anvilhall/core/shutdown.py
+++ b/src/anvilhall/core/shutdown.py
@@ -45,19 +45,19 @@
         deadline_at: float,
         now: float,
         *,
-        repeatable: bool,
+        bears_cut: bool,
     ) -> None:
         """Refuse a request that may not end before this instance does.
 
         :param deadline_at: monotonic time at which the request times out.
-        :param repeatable: whether the request may be sent again when its answer
-            is cut. An estimate of its duration is then good enough.
+        :param bears_cut: whether an estimate of its duration is good enough,
+            because a cut does not leave the caller in doubt.
         :raises ShuttingDown: if the request must not begin.
         """
         if deadline_at <= self.stop_at:
             return
         expected_s = math.inf
-        if repeatable and not self.closed:
+        if bears_cut and not self.closed:
             expected_s = self._estimate_duration_s(class_name)
         if now + expected_s <= self.stop_at:
             return
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -183,7 +183,7 @@
             job.class_name,
             job.deadline_at,
             self._services.clock.monotonic(),
-            repeatable=job.retryable,
+            bears_cut=job.retryable,
         )
 
     def build_stop_error(self) -> AnvilhallError:
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -139,7 +139,7 @@
             job.route.name,
             job.deadline_at,
             self._services.clock.monotonic(),
-            repeatable=job.repeatable,
+            bears_cut=job.bears_cut,
         )
 
     def build_stop_error(self) -> AnvilhallError:
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -68,8 +68,11 @@
         self.pool_name = ''
 
     @property
-    def repeatable(self) -> bool:
-        """Whether it may be sent again after its answer was cut."""
+    def bears_cut(self) -> bool:
+        """Whether a cut does not leave the caller in doubt about a whole run.
+
+        A stream shows what its caller has got of it.
+        """
         return self.route.idempotent or self.route.streaming
 
     def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 from anvilhall.core.shutdown import Shutdown
 from anvilhall.exceptions import ShuttingDown
+from tests.latecaller import LateCaller
 from tests.site import HOST, KEY, count_runs, run_site, wait_until
 
 #: Seconds from the signal to the end of the process, and until which requests
@@ -17,46 +18,21 @@
 TOLERANCE_S = 0.5
 
 
-class _Caller:
-    """A caller that sends the head of a request, and the body when told."""
-
-    def __init__(self, site, path, deadline_ms, size=4):
-        self._site = site
-        self._size = size
-        lines = (
-            f'POST {path} HTTP/1.1',
-            f'Host: {HOST}',
-            f'Anvilhall-Request-Id: late-{path}-{deadline_ms}',
-            f'Anvilhall-Deadline-Ms: {deadline_ms}',
-            f'Anvilhall-Credential: {KEY}',
-            f'Content-Length: {size}',
-        )
-        self._head = '\r\n'.join((*lines, '', '')).encode()
-
-    async def send_head(self):
-        port = self._site.ports['g1']
-        self.reader, self._writer = await asyncio.open_connection(
-            '127.0.0.1', port
-        )
-        self._writer.write(self._head)
-
-    def send_body(self):
-        self._writer.write(b'x' * self._size)
-
-    async def read_status(self):
-        async with asyncio.timeout(10):
-            line = await self.reader.readline()
-        return int(line.split()[1]) if line else 0
-
-
 def _stop(site):
     return asyncio.ensure_future(site.gateways['g1'].stop())
 
 
 async def _open_stopping(site, path, deadline_ms):
     """Send the head of a request just before the stop."""
-    caller = _Caller(site, path, deadline_ms)
-    await caller.send_head()
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Anvilhall-Request-Id: late-{path}-{deadline_ms}',
+        f'Anvilhall-Deadline-Ms: {deadline_ms}',
+        f'Anvilhall-Credential: {KEY}',
+    )
+    caller = LateCaller(lines, b'late')
+    await caller.send_head(site.ports['g1'])
     await wait_until(lambda: site.gateways['g1'].context.open_requests)
     return caller, _stop(site)
 
@@ -187,9 +163,9 @@
     asyncio.run(scenario())
 
 
-def _is_allowed(shutdown, deadline_at, now=0.0, *, repeatable=True):
+def _is_allowed(shutdown, deadline_at, now=0.0, *, bears_cut=True):
     try:
-        shutdown.check('chat', deadline_at, now, repeatable=repeatable)
+        shutdown.check('chat', deadline_at, now, bears_cut=bears_cut)
     except ShuttingDown:
         return False
     return True
@@ -205,7 +181,7 @@
         shutdown.note_duration('chat', 2.0)
     assert _is_allowed(shutdown, 15.0)
     assert not _is_allowed(shutdown, 15.0, now=3.5)
-    assert not _is_allowed(shutdown, 15.0, repeatable=False)
+    assert not _is_allowed(shutdown, 15.0, bears_cut=False)
     for _ in range(8):
         shutdown.note_duration('chat', 9.0)
     assert not _is_allowed(shutdown, 15.0)
--- a/tests/test_planned_stop_own.py
+++ b/tests/test_planned_stop_own.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.cluster import TIMINGS, build_chat, open_cluster, wait_for
+from tests.latecaller import LateCaller
 
 DRAIN_S = 1.5
 SHORT_DRAIN = msgspec.structs.replace(TIMINGS, drain_timeout_s=DRAIN_S)
@@ -15,37 +16,6 @@
 CHAT = ('/v1/chat/completions', 'quick', build_chat('hello', 5))
 
 
-class _Caller:
-    """A caller that sends the head of a request, and the body when told."""
-
-    def __init__(self, cluster, request, deadline_s):
-        path, class_name, self._body = request
-        self._port = cluster.ports['last']
-        lines = (
-            f'POST {path} HTTP/1.1',
-            'Host: a',
-            'Authorization: Bearer ann',
-            f'Anvilhall-Class: {class_name}',
-            f'Anvilhall-Deadline-Seconds: {deadline_s}',
-            f'Content-Length: {len(self._body)}',
-        )
-        self._head = '\r\n'.join((*lines, '', '')).encode()
-
-    async def send_head(self):
-        self._reader, self._writer = await asyncio.open_connection(
-            '127.0.0.1', self._port
-        )
-        self._writer.write(self._head)
-
-    def send_body(self):
-        self._writer.write(self._body)
-
-    async def read_status(self):
-        async with asyncio.timeout(10):
-            line = await self._reader.readline()
-        return int(line.split()[1]) if line else 0
-
-
 def _run_stop(node, scenario):
     """Run a scenario on an instance that has a short time for draining."""
 
@@ -59,8 +29,16 @@
 
 
 async def _open(cluster, instance, request, deadline_s):
-    caller = _Caller(cluster, request, deadline_s)
-    await caller.send_head()
+    path, class_name, body = request
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: a',
+        'Authorization: Bearer ann',
+        f'Anvilhall-Class: {class_name}',
+        f'Anvilhall-Deadline-Seconds: {deadline_s}',
+    )
+    caller = LateCaller(lines, body)
+    await caller.send_head(cluster.ports['last'])
     await wait_for(lambda: instance.gate.open_requests)
     return caller
 
