--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -60,7 +60,9 @@
 _RATE = 'Server-Limit'
 _CHUNKED = 'Transfer-Encoding: chunked'
 _STREAM_LINE = 'Content-Type: text/event-stream'
-_ERROR_STATUSES = {'busy': 503, 'error': 500}
+_ERROR_STATUSES = {'busy': 503, 'error': 500, 'page': 200}
+#: Body of responses with these and other given statuses.
+_PAGE = b'no\n\nstream\n\n'
 #: Bytes sent before a response is cut, as a share of the size of its head.
 _CUT_SHARES = {'cut-head': 0.5, 'cut-after-head': 1.0, 'cut-body': 1.05}
 #: Default pause in seconds after each event of a stream.
@@ -296,9 +298,7 @@
             await last_response(behaviour, request, writer)
             return False
         if status:
-            self._respond(writer, request, status, b'failed')
-        elif behaviour == 'page':
-            self._respond(writer, request, 200, b'no\n\nstream\n\n')
+            self._respond(writer, request, status, _PAGE)
         elif behaviour == 'foreign':
             self._respond(writer, request, 200, b'foreign', request_id='other')
         elif self.events:
