--- a/src/anvilhall/core/shutdown.py
+++ b/src/anvilhall/core/shutdown.py
@@ -8,7 +8,12 @@
 import collections
 import math
 
-from anvilhall.exceptions import ShuttingDown
+from anvilhall.exceptions import (
+    AnswerCut,
+    AnvilhallError,
+    ShuttingDown,
+    UpstreamFailed,
+)
 
 #: Durations kept for each class, and the least number that an estimate needs.
 _KEPT = 64
@@ -72,3 +77,17 @@
         if len(durations) < _LEAST:
             return math.inf
         return durations[int(_QUANTILE * (len(durations) - 1))]
+
+
+def build_stop_error(*, begun: bool, may_have_run: bool) -> AnvilhallError:
+    """Return the error of a request that the end of this instance cuts.
+
+    :param begun: whether the caller has got a part of the response.
+    :param may_have_run: whether the request was sent to a runner.
+    """
+    reason = 'this instance stops'
+    if begun:
+        return AnswerCut(reason)
+    if may_have_run:
+        return UpstreamFailed(f'{reason}; the request may have run')
+    return ShuttingDown(reason, _RETRY_AFTER_S)
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -14,7 +14,7 @@
 from anvilhall.core.ledger import Claim
 from anvilhall.core.messages import Ask, Grant, Progress, Release
 from anvilhall.core.retries import RetryBudget, draw_backoff_s, may_retry
-from anvilhall.core.shutdown import Shutdown
+from anvilhall.core.shutdown import Shutdown, build_stop_error
 from anvilhall.events import (
     DONE_EVENT,
     Answer,
@@ -28,7 +28,6 @@
     DeadlinePassed,
     Outcome,
     Paused,
-    ShuttingDown,
     UpstreamCut,
     UpstreamFailed,
     UpstreamGarbled,
@@ -52,9 +51,6 @@
 #: Gap between chunks, in seconds, from which on progress is reported early;
 #: also the least time between early reports.
 _LONG_GAP_S = 0.1
-#: ``Retry-After`` of a request that this instance did not begin before its end,
-#: in seconds.
-_STOPPED_RETRY_S = 1.0
 #: Lower bound of a measured time to first token, in seconds; 0 in a report
 #: means that no token has arrived.
 _MIN_FIRST_TOKEN_S = 0.0001
@@ -188,12 +184,9 @@
 
     def build_stop_error(self) -> AnvilhallError:
         """Return the error of a request that the end of this instance cuts."""
-        reason = 'this instance stops'
-        if self._delivered:
-            return AnswerCut(reason)
-        if self._may_have_run:
-            return UpstreamFailed(f'{reason}; the request may have run')
-        return ShuttingDown(reason, _STOPPED_RETRY_S)
+        return build_stop_error(
+            begun=bool(self._delivered), may_have_run=self._may_have_run
+        )
 
     async def _attempt(self) -> None:
         self.check_shutdown()
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -8,6 +8,7 @@
 from anvilhall.attempts import RelayAttempt
 from anvilhall.core.messages import Ask, Grant
 from anvilhall.core.retries import may_retry_relayed
+from anvilhall.core.shutdown import build_stop_error
 from anvilhall.events import EventFramer
 from anvilhall.exceptions import (
     AnswerCut,
@@ -15,7 +16,6 @@
     DeadlineExceeded,
     DeadlinePassed,
     Outcome,
-    ShuttingDown,
     UpstreamFailed,
     UpstreamRefused,
 )
@@ -25,9 +25,6 @@
 
 #: Time left until the deadline, in seconds, below which no retry is made.
 _SEND_MARGIN_S = 0.005
-#: ``Retry-After`` of a request that this instance did not begin before its end,
-#: in seconds.
-_STOPPED_RETRY_S = 0.5
 
 
 class RelaySink(Protocol):
@@ -144,12 +141,9 @@
 
     def build_stop_error(self) -> AnvilhallError:
         """Return the error of a request that the end of this instance cuts."""
-        reason = 'this instance stops'
-        if self.response_started:
-            return AnswerCut(reason)
-        if self._may_have_run:
-            return UpstreamFailed(f'{reason}; the request may have run')
-        return ShuttingDown(reason, _STOPPED_RETRY_S)
+        return build_stop_error(
+            begun=self.response_started, may_have_run=self._may_have_run
+        )
 
     async def _wait_for_grant(self, ask: Ask) -> Grant:
         services = self._services
