Do not end a request because its digest was cut twice

What callers saw: 502 for a chat of one message that two engines had answered with garbage, instead of the third engine's answer. Cause: the digest of a request counted as a part in the limit of two crashes for one request; a digest says nothing of the content, so that no other request can show it sound. Change: only parts of the prompt count in that limit; evidence over several requests still knows the digest.

--- a/src/anvilhall/core/screening.py
+++ b/src/anvilhall/core/screening.py
@@ -64,7 +64,11 @@
         self._quarantine.check(
             ask.request_id, parts, now, may_probe=self._may_probe
         )
-        crashes = self._evidence.count_crashes(ask.request_id, parts)
+        # A digest says nothing of the content, so that it does not count here:
+        # other requests show whether a prompt's parts are sound.
+        crashes = self._evidence.count_crashes(
+            ask.request_id, parts[: len(ask.parts)]
+        )
         if crashes >= _MAX_CRASHES:
             raise Quarantined(
                 f'{crashes} runners have crashed as they began to answer it'
