--- a/src/anvilhall/logs.py
+++ b/src/anvilhall/logs.py
@@ -137,5 +137,5 @@
         reason=error.reason,
         elapsed_s=round(elapsed_s, 3),
         first_token_s=round(first_token_s, 3),
-        parts=ask.part_names[:_LOGGED_PARTS],
+        parts=list(ask.part_names[:_LOGGED_PARTS]),
     )
