Take any event stream for the continuation of a stream

What callers saw: a resumable stream that was cut although another runner went on with it, if the first answer had no content type. Cause: the type had to be the same as that of the first answer. Change: an event stream continues any stream.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -39,6 +39,7 @@
 #: eight tiers.
 _RANKED_TIERS = 2
 _RANKS_PER_TIER = 2
+_EVENT_STREAM = 'text/event-stream'
 #: Characters of a header in an error message.
 _SHOWN_CHARACTERS = 80
 #: Seconds for which an idle connection to a runner may be reused.
@@ -294,7 +295,8 @@
         """Return the failure if an answer does not continue the response."""
         begun = self._listener.content_type
         given = headers.get('Content-Type', '')
-        if self._listener.response_started and given != begun:
+        continues = given == begun or given.startswith(_EVENT_STREAM)
+        if self._listener.response_started and not continues:
             return UpstreamGarbled(
                 f'the answer has content type {given[:_SHOWN_CHARACTERS]!r}, '
                 f'the response that it continues {begun!r}',
