--- a/src/anvilhall_standins/engine.py
+++ b/src/anvilhall_standins/engine.py
@@ -12,9 +12,13 @@
 following faults is the number of responses they affect: ``nothing`` sends no
 response, ``garbage`` sends HTML, ``half_event`` closes the connection within an
 event, ``no_end`` omits the final ``[DONE]`` event.
+
+An engine whose ``pause_s`` is set falls silent once in each stream, after
+``pause_after`` events, and then goes on.
 """
 
 import asyncio
+import contextlib
 import hashlib
 import heapq
 import itertools
@@ -72,7 +76,10 @@
         'faults',
         'leaving',
         'model',
+        'pause_after',
+        'pause_s',
         'running',
+        'spans',
         'started',
     )
 
@@ -81,6 +88,13 @@
         self.model = model
         self.faults = Faults()
         self.leaving = False
+        #: Duration in seconds of a pause in each stream; 0: no pause.
+        self.pause_s = 0.0
+        #: Events that the engine sends on a stream before the pause.
+        self.pause_after = 0
+        #: Of each request that ended, its identifier and the loop times between
+        #: which it had a slot.
+        self.spans: list[tuple[str, float, float]] = []
         #: Cancellation events of the running requests, by request identifier.
         self.running: dict[str, asyncio.Event] = {}
         #: Identifiers of all requests ever started, in order.
@@ -144,6 +158,14 @@
                 )
             remaining -= chunk
 
+    async def pause(self, count: int, cancellation: asyncio.Event) -> None:
+        """Pause if this many events of a stream were sent, unless cancelled."""
+        if count != self.pause_after or not self.pause_s:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.pause_s):
+                await cancellation.wait()
+
     async def step(self) -> None:
         """Wait for the duration of one decode step."""
         model = self.model
@@ -181,12 +203,15 @@
         cancellation = await engine.acquire_slot(
             self._request_id, body.priority
         )
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
             await self._generate(body, cancellation)
         except StreamClosedError:
             engine.record_cancellation(self._request_id)
         finally:
             engine.release_slot(self._request_id)
+            engine.spans.append((self._request_id, began, loop.time()))
 
     async def _generate(
         self, body: ChatRequest, cancellation: asyncio.Event
@@ -205,6 +230,7 @@
             already_generated, already_generated + body.max_tokens
         ):
             await engine.step()
+            await engine.pause(index - already_generated, cancellation)
             if cancellation.is_set():
                 engine.record_cancellation(self._request_id)
                 self.finish()
--- a/src/anvilhall_standins/platform/received.py
+++ b/src/anvilhall_standins/platform/received.py
@@ -41,7 +41,13 @@
 class Traits:
     """Lasting properties of a runner."""
 
-    __slots__ = ('deadly_bodies', 'deadly_parts', 'requests_per_s')
+    __slots__ = (
+        'deadly_bodies',
+        'deadly_parts',
+        'pause_after',
+        'pause_s',
+        'requests_per_s',
+    )
 
     def __init__(self) -> None:
         """Start without limits and faults."""
@@ -49,6 +55,10 @@
         self.deadly_bodies: frozenset[bytes] = frozenset()
         #: Prompt parts that crash the runner.
         self.deadly_parts: frozenset[str] = frozenset()
+        #: Duration in seconds of a pause in each stream; 0: no pause.
+        self.pause_s = 0.0
+        #: Events that the runner sends on a stream before the pause.
+        self.pause_after = 0
         #: Content of the header that names its limit; empty: no header.
         self.requests_per_s = ''
 
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -39,7 +39,8 @@
 A runner whose traits have ``requests_per_s`` names that limit in its answers.
 One whose traits have ``deadly_parts`` or ``deadly_bodies`` crashes when it
 begins to answer a request whose prompt or body has one of them: all connections
-are reset, and it is away for a while.
+are reset, and it is away for a while. One whose traits have ``pause_s`` falls
+silent once in each stream, after ``pause_after`` events, and then goes on.
 """
 
 import asyncio
@@ -95,6 +96,9 @@
         #: Identifiers of requests whose client disconnected before a response
         #: began.
         self.disconnected_ids: list[str] = []
+        #: Of each stream, the request's identifier and the loop times between
+        #: which the runner worked on it.
+        self.spans: list[tuple[str, float, float]] = []
         #: Duration in seconds of the work before a response.
         self.work_s = 0.0
         #: Pause in seconds after each event of a stream.
@@ -302,7 +306,7 @@
         elif behaviour == 'foreign':
             self._respond(writer, request, 200, b'foreign', request_id='other')
         elif self.events:
-            return await self._stream(request, writer)
+            return await self._stream_timed(request, reader, writer)
         else:
             await self._send_padded(request, writer)
             if behaviour == 'twice':
@@ -416,14 +420,7 @@
         reader: asyncio.StreamReader,
     ) -> bool:
         """Work for ``work_s``; return whether the client is still connected."""
-        if not self.work_s:
-            return True
-        try:
-            async with asyncio.timeout(self.work_s):
-                received = await reader.read(1)
-        except TimeoutError:
-            return True
-        return bool(received)
+        return await _wait_connected(self.work_s, reader)
 
     def _build_body(self, request: ReceivedRequest) -> bytes:
         return f'{self.name} ran {request.request_id}'.encode()
@@ -483,15 +480,34 @@
             all_lines.append(f'{_RATE}: {self.traits.requests_per_s}')
         return '\r\n'.join(all_lines).encode() + _HEAD_END
 
+    async def _stream_timed(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            return await self._stream(request, reader, writer)
+        finally:
+            self.spans.append((request.request_id, began, loop.time()))
+
     async def _stream(
         self,
         request: ReceivedRequest,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         writer.write(self._build_head(request, _STREAM_LINE, _CHUNKED))
         first = request.first_event
         for number in range(first, self.events + 1):
             event = build_event(number)
+            pauses = number == first + self.traits.pause_after
+            if pauses and not await _wait_connected(
+                self.traits.pause_s, reader
+            ):
+                return False
             if first <= self.cut_after < number:
                 self.cut_after = 0
                 writer.write(b'%x\r\n' % len(event) + event[:6])
@@ -505,6 +521,20 @@
         return True
 
 
+async def _wait_connected(
+    duration_s: float, reader: asyncio.StreamReader
+) -> bool:
+    """Wait for a time; return whether the client is still connected."""
+    if not duration_s:
+        return True
+    try:
+        async with asyncio.timeout(duration_s):
+            received = await reader.read(1)
+    except TimeoutError:
+        return True
+    return bool(received)
+
+
 def _read_status(behaviour: str) -> int | None:
     """Return the status that a behaviour responds with after a run, if any."""
     kind, _, number = behaviour.partition('-')
--- /dev/null
+++ b/tests/test_silent_runner.py
@@ -0,0 +1,314 @@
+"""Streams whose runners fall silent, on the interface of the platform."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from anvilhall.exceptions import UpstreamCut
+from anvilhall_standins.platform.received import build_event
+from tests.site import make_manifest, make_route, run_site, wait_until
+
+STREAMS = 8
+EVENTS = 5
+BODY = b''.join(build_event(number) for number in range(1, EVENTS + 1))
+#: Seconds that a runner of a test stays silent if it never goes on.
+DEAD_S = 60.0
+#: Longest time in seconds that two runners may work on one stream.
+OVERLAP_S = 0.4
+#: Numbers of runners, and slots of each.
+SIZES = ((1, 8), (2, 4), (2, 8), (3, 3), (3, 8))
+
+
+def _make_chat(attempts):
+    return make_route(
+        'chat',
+        kind='streaming',
+        service='llm',
+        resumable=True,
+        gap_aim_ms=500,
+        attempts=attempts,
+        timeout_ms=8000,
+    )
+
+
+@contextlib.asynccontextmanager
+async def _run_engines(*slots, attempts=3, gateway=None):
+    """Run a site with a gateway and the runners ``llm-0``, ``llm-1`` and so on.
+
+    :param slots: slots of each runner.
+    :param gateway: settings of the gateway.
+    """
+    async with run_site(0, len(slots), EVENTS) as site:
+        await site.publish(make_manifest(2, (_make_chat(attempts),)))
+        for number, count in enumerate(slots):
+            await site.register(f'llm-{number}', 'llm', slots=count, seq=2)
+        if gateway:
+            await site.restart_with(**gateway)
+        await wait_until(lambda: _count_slots(site) == sum(slots))
+        await wait_until(lambda: site.gateways['g1'].context.version == 2)
+        yield site
+
+
+def _get_broker(site):
+    return site.gateways['g1'].context.services.broker
+
+
+def _get_shard(site):
+    return _get_broker(site).owner.get_shard('llm')
+
+
+def _count_slots(site):
+    shard = _get_shard(site)
+    return shard.roster.slots if shard else 0
+
+
+def _is_released(site):
+    """Return whether no request waits or holds a slot."""
+    broker = _get_broker(site)
+    shard = _get_shard(site)
+    return not (
+        broker.running_count
+        or broker.busy
+        or shard.running_count
+        or shard.waiting_count
+    )
+
+
+async def _stream(site, number, **fields):
+    """Return the body of a stream, or of the error in its place."""
+    try:
+        reply = await site.fetch(
+            f'/chat/{number}', method='POST', body=b'q', **fields
+        )
+    except UpstreamCut:
+        return b'cut'
+    return reply.body
+
+
+def _start_streams(site, count=STREAMS, **fields):
+    return [
+        asyncio.ensure_future(_stream(site, number, **fields))
+        for number in range(count)
+    ]
+
+
+def _list_spans(site):
+    """Return by request the spans of work of all runners."""
+    spans = {}
+    for runner in site.runners.values():
+        for request_id, began, ended in runner.spans:
+            spans.setdefault(request_id, []).append((began, ended))
+    return spans
+
+
+def _measure_overlap_s(site):
+    """Return the longest time for which two runners worked on one stream."""
+    overlaps = [0.0]
+    for spans in _list_spans(site).values():
+        spans.sort()
+        overlaps.extend(
+            ended - began
+            for (_, ended), (began, _) in zip(spans, spans[1:], strict=False)
+        )
+    return max(overlaps)
+
+
+async def _serve_pausing(size, pause_after, pause_s):
+    """Return the bodies of streams whose runners all pause."""
+    engines, slots = size
+    async with _run_engines(*(slots for _ in range(engines))) as site:
+        for runner in site.runners.values():
+            runner.traits.pause_after = pause_after
+            runner.traits.pause_s = pause_s
+        headers = {'Anvilhall-Deadline-Ms': '8000'}
+        bodies = await asyncio.gather(*_start_streams(site, headers=headers))
+        await wait_until(lambda: _is_released(site))
+        assert _measure_overlap_s(site) <= OVERLAP_S
+        return bodies
+
+
+# Guards against streams that are cut because their runners pause at a time.
+@pytest.mark.parametrize('pause_s', [1.3, 1.6])
+@pytest.mark.parametrize('pause_after', [0, 2])
+def test_stream_is_whole_if_all_runners_pause(pause_after, pause_s):
+    async def scenario():
+        served = await asyncio.gather(
+            *(_serve_pausing(size, pause_after, pause_s) for size in SIZES)
+        )
+        for size, bodies in zip(SIZES, served, strict=True):
+            assert bodies == [BODY] * STREAMS, size
+
+    asyncio.run(scenario())
+
+
+# Guards against streams that wait for a dead runner beside a sound one.
+@pytest.mark.parametrize('pause_after', [0, 2])
+def test_dead_runner_is_left_for_a_free_one(pause_after):
+    async def scenario():
+        async with _run_engines(8, 8) as site:
+            dead = site.runners['llm-0']
+            dead.traits.pause_after = pause_after
+            dead.traits.pause_s = DEAD_S
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            tasks = _start_streams(site)
+            bodies = await asyncio.gather(*tasks)
+            assert loop.time() - began < 2.0
+            assert bodies == [BODY] * STREAMS
+            assert dead.runs
+            await wait_until(lambda: len(dead.spans) == len(dead.runs))
+            assert _measure_overlap_s(site) <= OVERLAP_S
+            await wait_until(lambda: _is_released(site))
+            calls = {run.request_id for run in site.runners['llm-1'].runs}
+            assert calls == {f'id-{number}' for number in range(1, STREAMS + 1)}
+
+    asyncio.run(scenario())
+
+
+# Guards against streams that are cut, or stay, while the other runner is full.
+def test_dead_runner_is_left_when_a_slot_is_free():
+    async def scenario():
+        async with _run_engines(4, 4) as site:
+            dead, sound = site.runners['llm-0'], site.runners['llm-1']
+            dead.traits.pause_after = 2
+            dead.traits.pause_s = DEAD_S
+            sound.event_s = 0.32
+            bodies = await asyncio.gather(*_start_streams(site))
+            assert bodies == [BODY] * STREAMS
+            assert len(dead.runs) == 4
+            moved = {run.request_id for run in dead.runs}
+            freed_at = max(
+                ended for name, _, ended in sound.spans if name not in moved
+            )
+            late_s = [
+                began - freed_at
+                for name, began, _ in sound.spans
+                if name in moved
+            ]
+            assert max(late_s) < 0.5
+            assert _measure_overlap_s(site) <= OVERLAP_S
+
+    asyncio.run(scenario())
+
+
+# Guards against a dead runner's stream that moves to a runner which is silent
+# as well although a third one is sound.
+def test_stream_moves_to_the_runner_that_is_not_silent():
+    async def scenario():
+        async with _run_engines(4, 4, 4) as site:
+            for name in ('llm-0', 'llm-1'):
+                site.runners[name].traits.pause_after = 1
+                site.runners[name].traits.pause_s = DEAD_S
+            bodies = await asyncio.gather(*_start_streams(site, 12))
+            assert bodies == [BODY] * 12
+            first, second = (
+                {run.request_id for run in site.runners[name].runs}
+                for name in ('llm-0', 'llm-1')
+            )
+            assert len(first) == len(second) == 4
+            assert not first & second
+
+    asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def _wait_to_move(deadline_ms=4000, **fields):
+    """Run a site with streams that wait to leave their dead runners.
+
+    All runners are full. Yields the site and the tasks of the streams.
+    """
+    async with _run_engines(1, 1, **fields) as site:
+        for runner in site.runners.values():
+            runner.traits.pause_after = 2
+            runner.traits.pause_s = DEAD_S
+        headers = {'Anvilhall-Deadline-Ms': str(deadline_ms)}
+        tasks = _start_streams(site, 2, headers=headers)
+        await wait_until(lambda: _get_shard(site).running_count == 2)
+        await wait_until(lambda: _get_shard(site).waiting_count == 2)
+        yield site, tasks
+        for task in tasks:
+            task.cancel()
+
+
+# Guards against grants and waiting asks of a caller that has disconnected.
+def test_disconnected_caller_releases_the_grant_and_the_ask():
+    async def scenario():
+        async with _wait_to_move() as (site, tasks):
+            for task in tasks:
+                task.cancel()
+            await wait_until(lambda: _is_released(site))
+            runners = site.runners.values()
+            await wait_until(lambda: all(runner.spans for runner in runners))
+
+    asyncio.run(scenario())
+
+
+# Guards against grants and waiting asks of a request whose time is over.
+def test_deadline_releases_the_grant_and_the_ask():
+    async def scenario():
+        async with _wait_to_move(deadline_ms=2000) as (site, tasks):
+            bodies = await asyncio.gather(*tasks)
+            assert bodies == [b'cut', b'cut']
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against a stop that waits for streams whose runners are silent.
+def test_end_of_the_instance_releases_the_grant_and_the_ask():
+    async def scenario():
+        relay = {'grace_s': 2.6, 'linger_s': 0.3}
+        async with _wait_to_move(gateway=relay) as (site, tasks):
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await site.gateways['g1'].stop()
+            assert loop.time() - began < 3.1
+            assert await asyncio.gather(*tasks) == [b'cut', b'cut']
+            broker = _get_broker(site)
+            assert not broker.running_count
+            assert not broker.busy
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream that is given up because it may not be moved.
+@pytest.mark.parametrize(
+    ('attempts', 'slack'),
+    [(1, 20.0), (3, 0.0)],
+    ids=['attempts', 'budget'],
+)
+@pytest.mark.parametrize('pause_after', [0, 2])
+def test_stream_that_may_not_move_stays(attempts, slack, pause_after):
+    async def scenario():
+        async with _run_engines(
+            8, 8, attempts=attempts, gateway={'retry_slack': slack}
+        ) as site:
+            pausing = site.runners['llm-0']
+            pausing.traits.pause_after = pause_after
+            pausing.traits.pause_s = 1.6
+            bodies = await asyncio.gather(*_start_streams(site, 4))
+            assert bodies == [BODY] * 4
+            assert pausing.runs
+            runs = [runner.runs for runner in site.runners.values()]
+            assert sum(map(len, runs)) == 4
+
+    asyncio.run(scenario())
+
+
+# Guards against more runners for one stream than its route allows.
+def test_moves_spend_the_attempts_of_the_route():
+    async def scenario():
+        async with _run_engines(4, 4, 4, 4, attempts=2) as site:
+            for runner in site.runners.values():
+                runner.traits.pause_after = 2
+                runner.traits.pause_s = DEAD_S
+            site.runners['llm-3'].traits.pause_s = 0
+            await asyncio.gather(*_start_streams(site, 4))
+            spent = {}
+            for engine in site.runners.values():
+                for run in engine.runs:
+                    spent[run.request_id] = spent.get(run.request_id, 0) + 1
+            assert max(spent.values()) == 2
+
+    asyncio.run(scenario())
