Keep a stalled stream open until another runner is granted

Cause: the stall timer aborted the attempt of a resumable stream after 1.2 s without a whole event, and only then was another runner asked for. If none was free, or all were silent, the caller's connection was closed although its runner would have gone on.

Ruled out, without a run: a longer stall timeout alone. It would delay the move away from a dead runner, and longer pauses would still cut all streams.

Change: the stalled attempt stays open. Another runner is asked for under an identifier of its own, with the present runner and all silent ones to avoid. The attempt is aborted once a runner is granted that is neither the present one nor one on which all open streams of this instance have been silent for half of the stall timeout. Other grants are released, refused asks repeated after 0.1 s, and the ask is withdrawn when the stream goes on. Attempts and retry budget are checked and charged at the move. Lines stream_moved and stream_not_moved.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -1,6 +1,5 @@
 """One attempt of a relayed request: the HTTP exchange with one runner."""
 
-import asyncio
 from http import HTTPStatus
 from typing import Protocol
 
@@ -21,6 +20,7 @@
     UpstreamStalled,
 )
 from anvilhall.grants import note_limit
+from anvilhall.handover import Handover
 from anvilhall.outbound import Call, Transfer
 from anvilhall.relayjobs import RelayJob, RelayServices
 
@@ -28,8 +28,8 @@
 #: bytes. If the connection breaks, a buffered response can still be replaced by
 #: that of another runner.
 _BUFFER_LIMIT_BYTES = 256 * 1024
-#: Seconds without a whole event after which a resumable stream is moved to
-#: another runner. Callers give up after two seconds.
+#: Seconds without a whole event after which another runner is asked for a
+#: resumable stream. Callers give up after two seconds.
 _STALL_TIMEOUT_S = 1.2
 #: Lower bound of the reported time to the first token, in seconds; 0 means
 #: that no token has arrived.
@@ -51,8 +51,6 @@
 
     #: Whether a part of the response has been sent to the caller.
     response_started: bool
-    #: Previous attempts in which the request may have been sent.
-    sends: int
     #: Content type of the response; empty before it has started.
     content_type: str
 
@@ -102,10 +100,10 @@
         '_requests_per_s',
         '_response_head',
         '_services',
-        '_timer',
         'failure',
         'first_token_s',
         'grant',
+        'handover',
         'not_run',
         'served',
         'transfer',
@@ -150,7 +148,8 @@
         self._forwarding = False
         #: Failure found in the response, which ends the attempt.
         self._problem: AnvilhallError | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        #: Moves the stream if it stalls; ``None`` if it is not resumable.
+        self.handover: Handover | None = None
 
     async def run(self, last_event_id: str) -> None:
         """Send the request and forward the response.
@@ -159,9 +158,12 @@
             caller; empty if none was.
         :raises AnvilhallError: if the runner does not serve the request.
         """
-        self._start_stall_timer()
+        services = self._services
+        services.activity.begin(self.grant.runner, self._granted_at)
+        if self.handover:
+            self.handover.start()
         try:
-            await self._services.outbound.stream(
+            await services.outbound.stream(
                 self._build_call(last_event_id),
                 self.transfer,
                 self._handle_chunk,
@@ -170,8 +172,7 @@
         except AnvilhallError as error:
             self._raise_failure(self._classify_failure(error))
         finally:
-            if self._timer:
-                self._timer.cancel()
+            services.activity.end(self.grant.runner)
         problem = self._problem or self._check_end()
         if problem:
             self._raise_failure(problem)
@@ -182,8 +183,29 @@
         """Return the seconds since the grant."""
         return self._services.clock.monotonic() - self._granted_at
 
+    @property
+    def stall_timeout_s(self) -> float:
+        """Seconds without a whole event after which a stream is stalled."""
+        return max(_STALL_TIMEOUT_S, self._job.route.objective_s)
+
+    def compute_time_left_s(self) -> float:
+        """Return the seconds left until the stream counts as stalled."""
+        limit = self._last_progress_at + self.stall_timeout_s
+        return limit - self._services.clock.monotonic()
+
+    def abort_stalled(self) -> None:
+        """End the attempt with an error, as another runner is granted."""
+        silent_s = self._services.clock.monotonic() - self._last_progress_at
+        self._problem = UpstreamStalled(
+            f'no whole event for {silent_s:.2f} s, '
+            f'limit {self.stall_timeout_s:.2f} s'
+        )
+        self.transfer.abort()
+
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
+        if self.handover:
+            self.handover.close()
         if not self.served:
             self.transfer.abort()
         self._services.broker.release(
@@ -345,6 +367,7 @@
         if self.first_token_s:
             self._listener.note_gap(now - self._last_chunk_at)
         self._last_chunk_at = now
+        self._services.activity.note(self.grant.runner, now)
         if not self.first_token_s:
             self.first_token_s = max(now - self._granted_at, _MIN_FIRST_TOKEN_S)
             if self._job.route.streaming:
@@ -370,6 +393,8 @@
     def _forward(self, chunk: bytes) -> None:
         if self._listener.handle_chunk(chunk):
             self._last_progress_at = self._services.clock.monotonic()
+            if self.handover:
+                self.handover.note_progress()
 
     def _flush(self) -> None:
         if not self._forwarding:
@@ -403,27 +428,3 @@
         if self.transfer.sent and isinstance(error, UpstreamRefused):
             return UpstreamCut(error.reason)
         return error
-
-    def _start_stall_timer(self) -> None:
-        route = self._job.route
-        if not (route.streaming and route.resumable):
-            return
-        if self._listener.sends + 1 >= route.attempts:
-            return
-        self._schedule_check(max(_STALL_TIMEOUT_S, route.objective_s))
-
-    def _schedule_check(self, delay_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._check_progress)
-
-    def _check_progress(self) -> None:
-        limit_s = max(_STALL_TIMEOUT_S, self._job.route.objective_s)
-        now = self._services.clock.monotonic()
-        silent_s = now - self._last_progress_at
-        if silent_s < limit_s:
-            self._schedule_check(limit_s - silent_s)
-            return
-        self._problem = UpstreamStalled(
-            f'no whole event for {silent_s:.2f} s, limit {limit_s:.2f} s'
-        )
-        self.transfer.abort()
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -63,19 +63,22 @@
     async def wait(self, broker: Broker, ask: Ask) -> Grant:
         """Request a grant and return it; the caller must release it.
 
-        If the wait is cancelled, the request is withdrawn, and a grant that
+        A grant that has arrived already is returned without a request. If the
+        wait is cancelled, the request is withdrawn, and a grant that
         has arrived is released.
 
         :raises RequestRefused: if the grant is refused.
         """
-        broker.ask(ask, self)
+        if not self.future.done():
+            broker.ask(ask, self)
         try:
             return await self.future
         except asyncio.CancelledError:
-            self._withdraw(broker, ask)
+            self.withdraw(broker, ask)
             raise
 
-    def _withdraw(self, broker: Broker, ask: Ask) -> None:
+    def withdraw(self, broker: Broker, ask: Ask) -> None:
+        """Withdraw the request, and release a grant that has arrived."""
         broker.withdraw(ask.request_id)
         if self.future.done() and not self.future.cancelled():
             broker.release(
--- /dev/null
+++ b/src/anvilhall/handover.py
@@ -0,0 +1,229 @@
+"""Moves streams from runners that have fallen silent to other runners.
+
+A stalled attempt stays open while another runner is asked for, because its
+runner may go on. It is aborted only when another runner has been granted.
+"""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from anvilhall.clock import Clock
+from anvilhall.core.activity import RunnerActivity
+from anvilhall.core.broker import Broker
+from anvilhall.core.messages import Ask, Grant
+from anvilhall.exceptions import RequestRefused
+from anvilhall.grants import PendingGrant
+from anvilhall.logs import log_event
+
+#: Seconds until a runner is asked for again, if none was granted or the granted
+#: one is no better.
+_REPEAT_S = 0.1
+#: Share of the stall timeout for which a runner's streams must all have been
+#: silent for it to be no better: runners may fall silent one after another.
+_SILENT_SHARE = 0.5
+#: Reason for which a stalled stream is not moved any more.
+_BUDGET_SPENT = 'the retry budget is spent'
+
+
+class StreamAttempt(Protocol):
+    """An attempt of a stream that may be moved."""
+
+    grant: Grant
+
+    @property
+    def stall_timeout_s(self) -> float:
+        """Seconds without progress after which the attempt is stalled."""
+
+    def compute_time_left_s(self) -> float:
+        """Return the seconds left until the attempt counts as stalled."""
+
+    def abort_stalled(self) -> None:
+        """End the attempt with an error, as another runner is granted."""
+
+
+class StreamRequest(Protocol):
+    """The request of an attempt."""
+
+    def build_ask(self, avoid: tuple[str, ...] = ()) -> Ask:
+        """Return the message that asks for a runner.
+
+        :param avoid: runners to avoid besides those that failed.
+        """
+
+    def find_obstacle(self) -> str:
+        """Return why the stream may not be moved; empty if it may."""
+
+    def try_spend_retry(self) -> bool:
+        """Take a retry from the budget; return whether one was left."""
+
+
+class Handover:
+    """Finds another runner for one attempt of a stream if it stalls.
+
+    :param attempt: attempt to observe.
+    :param request: request of the attempt.
+    :param activity: runners that have been silent.
+    """
+
+    __slots__ = (
+        '_activity',
+        '_ask',
+        '_ask_count',
+        '_attempt',
+        '_broker',
+        '_clock',
+        '_moved',
+        '_pending',
+        '_reason',
+        '_request',
+        '_stalled',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        attempt: StreamAttempt,
+        request: StreamRequest,
+        broker: Broker,
+        clock: Clock,
+        activity: RunnerActivity,
+    ) -> None:
+        """Create the handover; :meth:`start` begins to observe the attempt."""
+        self._attempt = attempt
+        self._request = request
+        self._broker = broker
+        self._clock = clock
+        self._activity = activity
+        self._timer: asyncio.TimerHandle | None = None
+        #: Unanswered ask, or the grant of another runner.
+        self._pending: PendingGrant | None = None
+        self._ask: Ask
+        self._ask_count = 0
+        self._stalled = False
+        self._moved = False
+        #: Why the stalled stream has not been moved yet.
+        self._reason = ''
+
+    def start(self) -> None:
+        """Begin to observe the attempt."""
+        self._schedule_check(self._attempt.compute_time_left_s())
+
+    def note_progress(self) -> None:
+        """Withdraw the ask, as the runner has gone on."""
+        if self._stalled and not self._moved:
+            self._withdraw()
+            self._end_stall()
+            self._schedule_check(self._attempt.compute_time_left_s())
+
+    def take(self) -> PendingGrant | None:
+        """Return the grant of the runner that the stream moves to, if any.
+
+        The caller must release it.
+        """
+        if not self._moved:
+            return None
+        taken = self._pending
+        self._pending = None
+        return taken
+
+    def close(self) -> None:
+        """Stop observing; withdraw the ask, or release a grant not taken."""
+        if self._timer:
+            self._timer.cancel()
+        self._withdraw()
+        if self._stalled and not self._moved:
+            self._end_stall()
+
+    def _schedule_check(self, delay_s: float) -> None:
+        if self._timer:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._check)
+
+    def _check(self) -> None:
+        left_s = self._attempt.compute_time_left_s()
+        if left_s > 0:
+            self._schedule_check(left_s)
+            return
+        self._stalled = True
+        self._reason = self._request.find_obstacle()
+        if self._reason:
+            self._schedule_check(_REPEAT_S)
+        else:
+            self._send_ask()
+
+    def _send_ask(self) -> None:
+        # Owners know one grant for each identifier, and this request holds one.
+        held = self._attempt.grant
+        self._ask_count += 1
+        silent = self._list_silent() - {held.runner}
+        self._ask = msgspec.structs.replace(
+            self._request.build_ask((held.runner, *sorted(silent))),
+            request_id=f'{held.request_id}+{self._ask_count}',
+        )
+        self._reason = 'no runner was granted'
+        self._pending = PendingGrant()
+        # The broker may answer before it returns.
+        self._pending.future.add_done_callback(self._handle_answer)
+        self._broker.ask(self._ask, self._pending)
+
+    def _handle_answer(self, answer: 'asyncio.Future[Grant]') -> None:
+        error = answer.exception()
+        if self._pending is None or self._pending.future is not answer:
+            # It was withdrawn.
+            return
+        if error is None:
+            self._reason = self._find_obstacle(answer.result())
+        elif isinstance(error, RequestRefused):
+            self._reason = f'{error.code}: {error.reason}'
+        else:
+            raise error
+        if self._reason:
+            self._withdraw()
+            if self._reason != _BUDGET_SPENT:
+                self._schedule_check(_REPEAT_S)
+            return
+        self._moved = True
+        self._log('stream_moved', to=answer.result().runner)
+        self._attempt.abort_stalled()
+
+    def _find_obstacle(self, grant: Grant) -> str:
+        """Return why the stream is not moved to a granted runner, if so.
+
+        Without an obstacle, the retry budget is charged.
+        """
+        if grant.runner == self._attempt.grant.runner:
+            return 'no other runner has a free slot'
+        if grant.runner in self._list_silent():
+            return f'runner {grant.runner} is silent as well'
+        obstacle = self._request.find_obstacle()
+        if obstacle or self._request.try_spend_retry():
+            return obstacle
+        return _BUDGET_SPENT
+
+    def _list_silent(self) -> frozenset[str]:
+        silent_s = self._attempt.stall_timeout_s * _SILENT_SHARE
+        return self._activity.list_silent(self._clock.monotonic() - silent_s)
+
+    def _withdraw(self) -> None:
+        pending = self._pending
+        self._pending = None
+        if pending:
+            pending.withdraw(self._broker, self._ask)
+
+    def _end_stall(self) -> None:
+        self._stalled = False
+        self._log('stream_not_moved', reason=self._reason)
+
+    def _log(self, kind: str, **fields: object) -> None:
+        attempt = self._attempt
+        log_event(
+            kind,
+            request_id=self._request.build_ask().request_id,
+            pool=attempt.grant.pool,
+            runner=attempt.grant.runner,
+            asks=self._ask_count,
+            **fields,
+        )
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -16,10 +16,12 @@
     DeadlineExceeded,
     DeadlinePassed,
     Outcome,
+    ShuttingDown,
     UpstreamFailed,
     UpstreamRefused,
 )
 from anvilhall.grants import PendingGrant
+from anvilhall.handover import Handover
 from anvilhall.logs import log_failed_attempt
 from anvilhall.relayjobs import RelayJob, RelayServices
 
@@ -46,6 +48,7 @@
         '_event_framer',
         '_job',
         '_may_have_run',
+        '_moved',
         '_services',
         '_sink',
         'content_type',
@@ -71,6 +74,8 @@
         self._avoid: tuple[str, ...] = ()
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
+        #: Grant of the runner that the stream moves to, if it moves.
+        self._moved: PendingGrant | None = None
         self._event_framer = EventFramer()
         #: Whether a part of the response's body has been sent to the caller.
         self._delivered = False
@@ -145,29 +150,69 @@
             begun=self.response_started, may_have_run=self._may_have_run
         )
 
+    def build_ask(self, avoid: tuple[str, ...] = ()) -> Ask:
+        """Return the message that asks for a runner.
+
+        :param avoid: runners to avoid besides those that failed.
+        """
+        now = self._services.clock.monotonic()
+        return self._job.build_ask(now, (*self._avoid, *avoid))
+
+    def find_obstacle(self) -> str:
+        """Return why the stream may not be moved; empty if it may."""
+        try:
+            self.check_shutdown()
+        except ShuttingDown as error:
+            return f'{error.code}: {error.reason}'
+        if self._delivered and not self._event_framer.last_id:
+            return 'its events have no identifiers'
+        if self.sends + 1 >= self._job.route.attempts:
+            return 'the attempts of the route are spent'
+        return ''
+
+    def try_spend_retry(self) -> bool:
+        """Take a retry from the budget; return whether one was left."""
+        now = self._services.clock.monotonic()
+        return self._services.budgets.try_spend(self._job.pool_name, now)
+
     async def _wait_for_grant(self, ask: Ask) -> Grant:
         services = self._services
+        pending = self._moved or PendingGrant()
+        self._moved = None
         began = services.clock.monotonic()
         self.waiting = True
         try:
-            return await PendingGrant().wait(services.broker, ask)
+            return await pending.wait(services.broker, ask)
         finally:
             self.waiting = False
             waited_s = services.clock.monotonic() - began
             self.waits_s.append(round(waited_s, 3))
             services.metrics.grant_wait.labels(ask.pool).observe(waited_s)
 
-    async def _run_attempt(self) -> None:
-        job = self._job
-        self.check_shutdown()
-        now = self._services.clock.monotonic()
-        ask = job.build_ask(now, self._avoid)
-        grant = await self._wait_for_grant(ask)
+    def _build_attempt(self, grant: Grant) -> RelayAttempt:
+        services = self._services
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
         attempt = RelayAttempt(
-            self, job, grant, self._services, repeated=repeated
+            self, self._job, grant, services, repeated=repeated
         )
+        if self._job.resumable:
+            attempt.handover = Handover(
+                attempt,
+                self,
+                services.broker,
+                services.clock,
+                services.activity,
+            )
+        return attempt
+
+    async def _run_attempt(self) -> None:
+        job = self._job
+        if self._moved is None:
+            self.check_shutdown()
+        ask = self.build_ask()
+        grant = await self._wait_for_grant(ask)
+        attempt = self._build_attempt(grant)
         try:
             self.check_shutdown()
             await attempt.run(self._event_framer.last_id)
@@ -178,6 +223,8 @@
             if error.outcome is not Outcome.NOT_RUN:
                 self._may_have_run = True
             self._avoid = (*self._avoid, grant.runner)
+            if attempt.handover:
+                self._moved = attempt.handover.take()
             log_failed_attempt(
                 ask,
                 grant,
@@ -213,7 +260,7 @@
         if not self.first_event_s:
             now = self._services.clock.monotonic()
             self.first_event_s = now - self._job.arrived_at
-        if self._job.route.resumable and self._job.route.streaming:
+        if self._job.resumable:
             chunk = self._event_framer.feed(chunk)
         if chunk:
             self._delivered = True
@@ -229,11 +276,13 @@
         self._event_framer.drop_partial()
 
     def _should_retry(self, error: AnvilhallError) -> bool:
+        if self._moved:
+            return True
         job = self._job
         if not may_retry_relayed(
             error,
             retryable=job.route.retryable,
-            resumable=job.route.streaming and job.route.resumable,
+            resumable=job.resumable,
             begun=self.response_started,
         ):
             return False
@@ -249,7 +298,7 @@
             return len(self.runners) <= job.route.attempts + 2
         if self.sends >= job.route.attempts:
             return False
-        return self._services.budgets.try_spend(job.pool_name, now)
+        return self.try_spend_retry()
 
     def _convert_error(self, error: AnvilhallError) -> AnvilhallError:
         if self.response_started:
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from anvilhall.clock import Clock
+from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
 from anvilhall.core.evidence import digest_request
 from anvilhall.core.messages import Ask
@@ -75,6 +76,11 @@
         """
         return self.route.idempotent or self.route.streaming
 
+    @property
+    def resumable(self) -> bool:
+        """Whether another runner can continue the response."""
+        return self.route.streaming and self.route.resumable
+
     def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
         """Return the message that asks the owner of the pool for a runner.
 
@@ -109,6 +115,7 @@
     """Dependencies that all relayed requests of an instance share."""
 
     __slots__ = (
+        'activity',
         'broker',
         'budgets',
         'clock',
@@ -138,3 +145,4 @@
         self.budgets = budgets
         self.rng = rng
         self.shutdown = Shutdown()
+        self.activity = RunnerActivity()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,284 @@
+"""Moving streams from silent runners to others."""
+
+import asyncio
+
+import pytest
+
+from anvilhall.clock import SystemClock
+from anvilhall.core.activity import RunnerActivity
+from anvilhall.core.messages import Ask, Grant
+from anvilhall.exceptions import Overloaded
+from anvilhall.handover import Handover
+
+#: Stall timeout of the attempt of a test, in seconds.
+LIMIT_S = 0.04
+WAIT_S = 5.0
+
+
+class StubBroker:
+    """Broker that answers asks as its script says, and then no more."""
+
+    def __init__(self, script):
+        #: Name of the runner to grant, or an error.
+        self.script = list(script)
+        self.asks = []
+        self.withdrawn = []
+        self.released = []
+
+    def ask(self, ask, handler):
+        self.asks.append(ask)
+        if not self.script:
+            return
+        answer = self.script.pop(0)
+        if isinstance(answer, str):
+            handler.handle_grant(Grant('p', ask.request_id, answer, 'a', 0))
+        else:
+            handler.handle_refusal(answer)
+
+    def withdraw(self, request_id):
+        self.withdrawn.append(request_id)
+
+    def release(self, release):
+        self.released.append(release.request_id)
+
+
+class StubStream:
+    """Attempt and request of a stream on the runner ``old``."""
+
+    stall_timeout_s = LIMIT_S
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.grant = Grant('p', 'id', 'old', 'a', 0)
+        self.progress_at = clock.monotonic()
+        self.aborted = asyncio.Event()
+        self.obstacle = ''
+        self.budget = 1
+
+    def compute_time_left_s(self):
+        return self.progress_at + LIMIT_S - self._clock.monotonic()
+
+    def abort_stalled(self):
+        self.aborted.set()
+
+    def build_ask(self, avoid=()):
+        return Ask('p', 'id', 'c', 'ann', 1, 1, 9.0, avoid=avoid)
+
+    def find_obstacle(self):
+        return self.obstacle
+
+    def try_spend_retry(self):
+        self.budget -= 1
+        return self.budget >= 0
+
+
+class Setting:
+    """A stalled stream and what its handover depends on."""
+
+    def __init__(self, *script):
+        clock = SystemClock()
+        self.clock = clock
+        self.broker = StubBroker(script)
+        self.stream = StubStream(clock)
+        self.activity = RunnerActivity()
+        self.handover = Handover(
+            self.stream, self.stream, self.broker, clock, self.activity
+        )
+        self.handover.start()
+
+    def progress(self):
+        self.stream.progress_at = self.clock.monotonic()
+        self.handover.note_progress()
+
+    async def wait_moved(self):
+        async with asyncio.timeout(WAIT_S):
+            await self.stream.aborted.wait()
+
+    async def wait_asks(self, count):
+        async with asyncio.timeout(WAIT_S):
+            while len(self.broker.asks) < count:
+                await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """Return the kinds and fields of the lines that handovers log."""
+    logged = []
+    monkeypatch.setattr(
+        'anvilhall.handover.log_event',
+        lambda kind, **fields: logged.append((kind, fields)),
+    )
+    return logged
+
+
+def test_stream_moves_with_a_grant_of_its_own(lines):
+    async def scenario():
+        setting = Setting('new')
+        await setting.wait_moved()
+        taken = setting.handover.take()
+        assert taken.future.result().runner == 'new'
+        setting.handover.close()
+        (ask,) = setting.broker.asks
+        assert ask.request_id not in {'', 'id'}
+        assert ask.avoid == ('old',)
+        assert not setting.broker.released
+        assert setting.stream.budget == 0
+
+    asyncio.run(scenario())
+    ((kind, fields),) = lines
+    assert kind == 'stream_moved'
+    assert (fields['runner'], fields['to']) == ('old', 'new')
+    assert fields['request_id'] == 'id'
+
+
+# Guards against a move to a runner that is silent on its other streams.
+def test_grant_of_a_silent_runner_is_released(lines):
+    async def scenario():
+        setting = Setting('silent', 'new')
+        setting.activity.begin('silent', setting.clock.monotonic())
+        await setting.wait_moved()
+        first, second = setting.broker.asks
+        assert first.avoid == second.avoid == ('old', 'silent')
+        assert first.request_id != second.request_id
+        assert setting.broker.released == [first.request_id]
+        assert setting.handover.take().future.result().runner == 'new'
+
+    asyncio.run(scenario())
+
+
+def test_runner_that_sends_on_other_streams_is_granted(lines):
+    async def scenario():
+        setting = Setting()
+        now = setting.clock.monotonic()
+        setting.activity.begin('busy', now)
+        setting.activity.note('busy', now + WAIT_S)
+        setting.broker.script.append('busy')
+        await setting.wait_moved()
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream that is sent to its silent runner once more.
+def test_grant_of_the_same_runner_is_released(lines):
+    async def scenario():
+        setting = Setting('old', 'new')
+        await setting.wait_moved()
+        first, _ = setting.broker.asks
+        assert setting.broker.released == [first.request_id]
+
+    asyncio.run(scenario())
+
+
+def test_refused_ask_is_repeated(lines):
+    async def scenario():
+        setting = Setting(Overloaded('full'), Overloaded('full'), 'new')
+        await setting.wait_moved()
+        assert len(setting.broker.asks) == 3
+        assert setting.stream.budget == 0
+
+    asyncio.run(scenario())
+    assert [kind for kind, _ in lines] == ['stream_moved']
+
+
+# Guards against a waiting ask of a stream that has gone on.
+def test_progress_withdraws_the_ask(lines):
+    async def scenario():
+        setting = Setting()
+        await setting.wait_asks(1)
+        setting.progress()
+        (ask,) = setting.broker.asks
+        assert setting.broker.withdrawn == [ask.request_id]
+        await setting.wait_asks(2)
+        setting.handover.close()
+        assert len(setting.broker.withdrawn) == 2
+        assert not setting.stream.aborted.is_set()
+
+    asyncio.run(scenario())
+    assert [kind for kind, _ in lines] == ['stream_not_moved'] * 2
+    assert lines[0][1]['reason'] == 'no runner was granted'
+
+
+# Guards against a slot that stays taken by a grant which is not used.
+@pytest.mark.parametrize('end', ['progress', 'close'])
+def test_grant_that_comes_with_the_end_of_the_stall_is_released(lines, end):
+    async def scenario():
+        setting = Setting()
+        broker = setting.broker
+        handlers = []
+
+        def ask(message, handler):
+            broker.asks.append(message)
+            handlers.append((message, handler))
+
+        broker.ask = ask
+        await setting.wait_asks(1)
+        message, handler = handlers[0]
+        handler.handle_grant(Grant('p', message.request_id, 'new', 'a', 0))
+        if end == 'progress':
+            setting.progress()
+        else:
+            setting.handover.close()
+        await asyncio.sleep(0)
+        assert broker.released == [message.request_id]
+        assert not setting.stream.aborted.is_set()
+        setting.handover.close()
+
+    asyncio.run(scenario())
+
+
+# Guards against a grant that is kept by an attempt which is cancelled as its
+# stream is moved.
+def test_grant_that_is_not_taken_is_released(lines):
+    async def scenario():
+        setting = Setting('new')
+        await setting.wait_moved()
+        setting.handover.close()
+        (ask,) = setting.broker.asks
+        assert setting.broker.released == [ask.request_id]
+
+    asyncio.run(scenario())
+
+
+def test_stream_with_an_obstacle_is_kept_and_logged_once(lines):
+    async def scenario():
+        setting = Setting('new')
+        setting.stream.obstacle = 'the attempts of the route are spent'
+        await asyncio.sleep(LIMIT_S * 8)
+        setting.handover.close()
+        assert not setting.broker.asks
+
+    asyncio.run(scenario())
+    ((kind, fields),) = lines
+    assert kind == 'stream_not_moved'
+    assert fields['reason'] == 'the attempts of the route are spent'
+
+
+def test_spent_budget_keeps_the_stream(lines):
+    async def scenario():
+        setting = Setting('new', 'new')
+        setting.stream.budget = 0
+        await setting.wait_asks(1)
+        await asyncio.sleep(LIMIT_S * 8)
+        setting.handover.close()
+        assert len(setting.broker.asks) == len(setting.broker.released) == 1
+        assert not setting.stream.aborted.is_set()
+
+    asyncio.run(scenario())
+    ((kind, fields),) = lines
+    assert (kind, fields['reason']) == (
+        'stream_not_moved',
+        'the retry budget is spent',
+    )
+
+
+def test_silence_counts_from_the_last_chunk_of_any_stream():
+    activity = RunnerActivity()
+    activity.begin('a', 1.0)
+    activity.begin('a', 2.0)
+    assert activity.list_silent(1.0) == {'a'}
+    activity.note('a', 3.0)
+    assert not activity.list_silent(2.0)
+    activity.end('a')
+    assert activity.list_silent(3.0) == {'a'}
+    activity.end('a')
+    assert not activity.list_silent(9.0)
