--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -81,10 +81,10 @@
         self.log_port = self._serve('log', build_log_app(self.store))
         self.list_port = self._serve('list', build_list_app(self.listing))
 
-    def add_engine(self, name, domain='d1', model=FAST_ENGINE):
+    def add_engine(self, name, domain='d1', model=FAST_ENGINE, pool='chat'):
         self.engines[name] = Engine(model)
         port = self._serve(name, build_engine_app(self.engines[name]))
-        self._add_member(name, port, domain, 'chat')
+        self._add_member(name, port, domain, pool)
 
     def add_single_write_engine(self, name):
         port = self._serve(name, build_single_write_app())
@@ -100,10 +100,10 @@
         self._add_member(name, port, 'd1', 'chat')
         return received
 
-    def add_service(self, name, domain='d1', work_s=0.005):
+    def add_service(self, name, domain='d1', work_s=0.005, pool='desk'):
         self.books[name] = ServiceState(work_s)
         port = self._serve(name, build_service_app(self.books[name]))
-        self._add_member(name, port, domain, 'desk')
+        self._add_member(name, port, domain, pool)
 
     async def add_instance(self, name, domain='d1', timings=TIMINGS):
         ports = [find_port() for _ in range(3)]
--- /dev/null
+++ b/tests/rawcaller.py
@@ -0,0 +1,125 @@
+"""A caller that sends a request in pieces and reads the answer byte by byte."""
+
+import asyncio
+
+#: Scenarios that run at once on one event loop.
+_AT_ONCE = 4
+#: Seconds within which an answer must end.
+ANSWER_S = 10
+_HEAD_END = b'\r\n\r\n'
+
+
+class Answer:
+    """What a caller has got on its connection."""
+
+    def __init__(self, status=0, head='', body=b'', *, whole=False):
+        self.status = status
+        self.head = head
+        self.body = body
+        #: Whether the answer has ended as its framing says.
+        self.whole = whole
+
+    def __repr__(self):
+        state = 'whole' if self.whole else 'cut'
+        return f'<{self.status} {state} {self.body[-300:]!r}>'
+
+
+class RawCaller:
+    """One connection of a caller.
+
+    :param lines: request line and headers, without those on the body.
+    """
+
+    def __init__(self, lines, body=b'', *, chunked=False):
+        framing = f'Content-Length: {len(body)}'
+        if chunked:
+            framing = 'Transfer-Encoding: chunked'
+        self._chunked = chunked
+        self._head = '\r\n'.join((*lines, framing, '', '')).encode()
+        self._body = body
+
+    async def connect(self, port):
+        """Connect to a port of the loopback interface."""
+        self._reader, self._writer = await asyncio.open_connection(
+            '127.0.0.1', port
+        )
+
+    def send_head(self, size=0):
+        """Send the head and the first bytes of the body."""
+        self._writer.write(self._head)
+        self.send_body(size)
+
+    def send_body(self, size):
+        """Send the next bytes of the body."""
+        piece, self._body = self._body[:size], self._body[size:]
+        if piece and self._chunked:
+            piece = b'%x\r\n%s\r\n' % (len(piece), piece)
+        self._writer.write(piece)
+
+    def send_rest(self):
+        """Send the rest of the body and its end."""
+        self.send_body(len(self._body))
+        if self._chunked:
+            self._writer.write(b'0\r\n\r\n')
+
+    async def send_slowly(self, pieces, pause_s):
+        """Send the rest of the body in a number of pieces with pauses."""
+        size = -(-len(self._body) // pieces)
+        for _ in range(pieces):
+            self.send_body(size)
+            await asyncio.sleep(pause_s)
+        self.send_rest()
+
+    async def read_answer(self):
+        """Read one answer; it is not whole if the connection ends within."""
+        answer = Answer()
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                await self._read_into(answer)
+        except (asyncio.IncompleteReadError, OSError):
+            return answer
+        answer.whole = True
+        return answer
+
+    def close(self):
+        """Close the connection."""
+        self._writer.close()
+
+    async def _read_into(self, answer):
+        head = await self._reader.readuntil(_HEAD_END)
+        answer.head = head.decode('latin-1')
+        answer.status = int(head.split()[1])
+        lines = answer.head.lower().split('\r\n')
+        if 'transfer-encoding: chunked' in lines:
+            await self._read_chunks(answer)
+            return
+        for line in lines:
+            name, _, length = line.partition(': ')
+            if name == 'content-length':
+                answer.body = await self._reader.readexactly(int(length))
+                return
+        answer.body = await self._reader.read()
+
+    async def _read_chunks(self, answer):
+        while True:
+            size = int(await self._reader.readuntil(b'\r\n'), 16)
+            chunk = await self._reader.readexactly(size + 2)
+            if not size:
+                return
+            answer.body += chunk[:-2]
+
+
+async def run_some_at_once(run, arguments):
+    """Run a scenario with each argument, some of them at the same time.
+
+    :return: result or exception of each run, by argument.
+    """
+    free = asyncio.Semaphore(_AT_ONCE)
+
+    async def run_in_turn(argument):
+        async with free:
+            return await run(argument)
+
+    runs = map(run_in_turn, arguments)
+    ended = await asyncio.gather(*runs, return_exceptions=True)
+    return dict(zip(arguments, ended, strict=True))
