Take the limit on bodies when the head of a request arrives

Cause: the limit was read anew for each piece of a body, so that a lower one applied to bodies that were arriving. The relay answered 413 and closed the connection on unread bytes, which resets it; the own interface dropped the pieces above the limit and answered 413. Besides, the relay gave the parser the limit that was in force when a connection's last request ended. After the limit was raised, the parser answered larger bodies on open connections with a bare 400, which callers do not retry.

Ruled out: the idle timeout, which is not measured while a body arrives.

Change: both interfaces take the limit with the head and keep it to the end of the body.

Before: test_settings_under_way.py[lower_body_limit] (8 cells reset) and test_settings_under_way_own.py[lower_limits] (8 cells 413) failed, and so did test_raised_body_limit_holds_on_an_open_connection (400). All pass now, one run each; test_relay.py and test_callers.py pass.

Conclusion: a change of the limit holds for the requests whose head arrives after it.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -100,6 +100,8 @@
         self.context = context
         self._parts: list[bytes] = []
         self._size = 0
+        #: Largest body by the settings in force when the head arrived.
+        self._body_limit = 0
         self._admitted = False
         self._task = None
         #: Whether the end of this instance cuts the request.
@@ -119,7 +121,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, unless the body exceeds the limit."""
         self._size += len(chunk)
-        if self._size <= self.context.gate.tree.guards.body_bytes:
+        if self._size <= self._body_limit:
             self._parts.append(chunk)
 
     def on_connection_close(self) -> None:
@@ -212,12 +214,12 @@
     def check_body(self) -> None:
         """Check the size of a received body, which may lack a length header.
 
-        :raises BodyTooLarge: if the body exceeds the limit in the settings.
+        :raises BodyTooLarge: if the body exceeds the limit.
         """
-        limit = self.context.gate.tree.guards.body_bytes
-        if self._size > limit:
+        if self._size > self._body_limit:
             raise BodyTooLarge(
-                f'the body has {self._size} bytes; the limit is {limit}',
+                f'the body has {self._size} bytes; '
+                f'the limit is {self._body_limit}',
             )
 
     def _check_head(self) -> None:
@@ -226,12 +228,12 @@
         self._admitted = True
         self.context.open.add(self)
         self._account = gate.tree.find_account(self._read_account_key())
+        self._body_limit = gate.tree.guards.body_bytes
         declared = self.request.headers.get('Content-Length', '0')
-        limit = gate.tree.guards.body_bytes
-        if exceeds_limit(declared, limit):
+        if exceeds_limit(declared, self._body_limit):
             raise BodyTooLarge(
                 f'Content-Length is {declared[:_SHOWN_DIGITS]}; '
-                f'the limit is {limit} bytes',
+                f'the limit is {self._body_limit} bytes',
             )
 
     def _read_account_key(self) -> str:
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -127,6 +127,12 @@
             raise NotReady(retry_after_s=_NOT_READY_RETRY_S)
         return settings
 
+    @property
+    def limits(self) -> RequestLimits:
+        """Limits of the requests that arrive now."""
+        settings = self._get_settings()
+        return settings.limits if settings else RequestLimits()
+
     def build_job(
         self,
         start_line: RequestStartLine,
@@ -194,6 +200,8 @@
         self._connection = connection
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        #: Largest body by the settings in force when the head arrived.
+        self._body_limit = 0
         self._job: RelayJob | None = None
         self._task: asyncio.Task[None] | None = None
         self._relay: Relay | None = None
@@ -213,6 +221,8 @@
         self._context.idle.discard(self)
         self._context.open.add(self)
         self._connection.stream.set_nodelay(True)
+        self._body_limit = self._context.limits.body_bytes
+        self._connection.set_max_body_size(self._body_limit)
         self._host = headers.get('Host', '')
         self._path = start_line.path
         self._has_body = (
@@ -236,12 +246,11 @@
         if self._response_started or self._error:
             return
         self._body_size += len(chunk)
-        limits = self._context.settings.limits
-        if self._body_size > limits.body_bytes:
+        if self._body_size > self._body_limit:
             self._body_chunks.clear()
             self._refuse(
                 BodyTooLarge(
-                    f'got {self._body_size} bytes, limit {limits.body_bytes}',
+                    f'got {self._body_size} bytes, limit {self._body_limit}',
                 ),
             )
             return
@@ -404,10 +413,10 @@
 
     def _check_length(self, headers: HTTPHeaders) -> None:
         declared = headers.get('Content-Length', '0')
-        limit = self._context.settings.limits.body_bytes
-        if exceeds_limit(declared, limit):
+        if exceeds_limit(declared, self._body_limit):
             raise BodyTooLarge(
-                f'body of {declared[:_SHOWN_DIGITS]} bytes, limit {limit}',
+                f'body of {declared[:_SHOWN_DIGITS]} bytes, '
+                f'limit {self._body_limit}',
             )
 
     def _release(self) -> None:
@@ -476,7 +485,6 @@
         :param limits: apply until :meth:`set_limits` is called.
         """
         self._context = context
-        self._limits = limits
         self._server = HTTPServer(
             self,
             max_header_size=limits.header_bytes,
@@ -489,8 +497,7 @@
         self._server.listen(port, host)
 
     def set_limits(self, limits: RequestLimits) -> None:
-        """Replace the limits for subsequent requests."""
-        self._limits = limits
+        """Replace the limits of heads and idle connections."""
         parameters = self._server.conn_params
         parameters.max_header_size = limits.header_bytes
         parameters.header_timeout = limits.idle_s * _IDLE_MARGIN
@@ -530,7 +537,6 @@
     ) -> HTTPMessageDelegate:
         """Return the handler of the next request on a connection."""
         assert isinstance(request_conn, HTTP1Connection)  # noqa: S101
-        request_conn.set_max_body_size(self._limits.body_bytes)
         return RelayRequest(self._context, request_conn)
 
 
--- a/tests/rawcaller.py
+++ b/tests/rawcaller.py
@@ -44,6 +44,10 @@
             '127.0.0.1', port
         )
 
+    def continue_on(self, other):
+        """Use the connection of another caller."""
+        self._reader, self._writer = other._reader, other._writer
+
     def send_head(self, size=0):
         """Send the head and the first bytes of the body."""
         self._writer.write(self._head)
--- a/tests/test_settings_under_way.py
+++ b/tests/test_settings_under_way.py
@@ -12,7 +12,15 @@
 import pytest
 
 from tests.rawcaller import RawCaller, run_some_at_once
-from tests.site import HOST, KEY, Site, make_route, wait_until
+from tests.site import (
+    HOST,
+    KEY,
+    Site,
+    make_manifest,
+    make_route,
+    run_site,
+    wait_until,
+)
 
 EVENTS = 6
 #: Connections that fill the queue of a socket that does not accept any.
@@ -333,3 +341,38 @@
 @pytest.mark.parametrize('change', CHANGES)
 def test_request_under_way_is_served_despite_a_change(faults, change):
     assert faults[change] == []
+
+
+def _build_order(number, body, *, chunked=False):
+    lines = (
+        'POST /order/1 HTTP/1.1',
+        f'Host: {HOST}',
+        f'Anvilhall-Request-Id: order-{number}',
+        f'Anvilhall-Credential: {KEY}',
+    )
+    return RawCaller(lines, body, chunked=chunked)
+
+
+# Guards against a connection that keeps the limit on bodies that was in force
+# when its last request ended.
+@pytest.mark.parametrize('chunked', [False, True])
+def test_raised_body_limit_holds_on_an_open_connection(chunked):
+    async def scenario():
+        async with run_site() as site:
+            caller = _build_order(1, b'small', chunked=chunked)
+            await caller.connect(site.ports['g1'])
+            caller.send_head()
+            caller.send_rest()
+            assert (await caller.read_answer()).status == 200
+            manifest = make_manifest(2)
+            manifest['limits']['max_body_bytes'] = 300_000
+            await site.publish(manifest)
+            gateway = site.gateways['g1']
+            await wait_until(lambda: gateway.context.version == 2)
+            larger = _build_order(2, bytes(200_000), chunked=chunked)
+            larger.continue_on(caller)
+            larger.send_head()
+            larger.send_rest()
+            assert (await larger.read_answer()).status == 200
+
+    asyncio.run(scenario())
