Keep removed classes and pools for the requests accepted under them

Cause: owners and brokers judge a request by the current settings alone. A request that asked for a runner after its route or class was removed was refused with 400, which callers do not retry, or its stream was cut. Without its pool, the shard was dropped at once: its waiting requests were refused as not owned, asked the same instance again with each tick until their deadline, and streams that were being moved were cut then. Both follow from the same lookup.

Ruled out: routes and accounts. Both are taken from the request itself once its head has arrived.

Change: core/retirement.py extends the settings of owners and brokers by removed classes and pools, until the longest deadline of the requests accepted under them has passed, plus the time in which other instances may still accept some. Callers are admitted by the settings without them, so that new requests of a removed route are refused as before. A pool is kept whether or not a class names it, because routes with shares send requests to several pools.

Conclusion: what was accepted is served to its end by the settings with which it was accepted. Memory and work grow with the classes that were removed within their deadlines.

--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -27,6 +27,7 @@
     Release,
 )
 from anvilhall.core.positions import UNREAD, Position
+from anvilhall.core.retirement import Retirement
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PeerUnreachable
 from anvilhall.links import SLOW_HEARTBEAT_FACTOR, LinkCallbacks, Links, LinkSet
@@ -66,6 +67,7 @@
         '_metrics',
         '_peer_regions',
         '_redialled',
+        '_retirement',
         '_shares_registry',
         '_stale',
         '_tree',
@@ -99,6 +101,7 @@
         self._clock = clock
         self._metrics = metrics
         self._tree = Tree({})
+        self._retirement = Retirement()
         #: Whether this instance is shutting down and gives up ownership.
         self._leaving = False
         self._member_list = MemberList(members=())
@@ -198,8 +201,8 @@
 
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings."""
-        self._tree = tree
-        self.broker.set_tree(tree)
+        self._tree = self._retirement.extend(tree, self._clock.monotonic())
+        self.broker.set_tree(self._tree)
         self._update_links()
 
     def set_member_list(self, member_list: MemberList) -> None:
