Release a call whose caller leaves within its body

Cause: the handler of the own interface overrides on_connection_close without the base method, which ends the wait for the body, and releases its place in the count of open requests only when it sends an answer. A caller that left while its body was arriving counted as open for ever: further calls were refused once the limit on open requests was reached, and a planned stop waited for its whole time for draining.

Ruled out: the relay, which releases such requests.

Change: the handler ends the wait and releases the place.

Before: test_caller_that_leaves_within_its_body_is_released failed (two cases, the place was still taken after 10 s).

Conclusion: the count of open requests follows the connections.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -126,8 +126,13 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request when its caller disconnects."""
+        super().on_connection_close()
+        if self._finished:
+            return
         if self._task:
             self._task.cancel()
+        else:
+            self.on_finish()
 
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
--- a/tests/rawcaller.py
+++ b/tests/rawcaller.py
@@ -60,6 +60,10 @@
             piece = b'%x\r\n%s\r\n' % (len(piece), piece)
         self._writer.write(piece)
 
+    def send_bytes(self, sent):
+        """Send bytes that are not part of the body."""
+        self._writer.write(sent)
+
     def send_rest(self):
         """Send the rest of the body and its end."""
         self.send_body(len(self._body))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -18,6 +18,7 @@
     read_text,
     wait_for,
 )
+from tests.rawcaller import RawCaller
 
 
 def test_streamed_answer_is_complete(root_json):
@@ -350,3 +351,25 @@
             assert read_error(answer)['code'] == UpstreamGarbled.code
 
     asyncio.run(scenario())
+
+
+# Guards against requests that count as open for ever, so that others are
+# refused and a planned stop waits for them.
+@pytest.mark.parametrize('path', ['services/desk/1', 'v1/chat/completions'])
+def test_caller_that_leaves_within_its_body_is_released(root_json, path):
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            gate = cluster.instances['entry-0'].gate
+            lines = (
+                f'POST /{path} HTTP/1.1',
+                'Host: a',
+                'Authorization: Bearer ann',
+            )
+            caller = RawCaller(lines, b'{"n": 1}')
+            await caller.connect(cluster.ports['entry-0'])
+            caller.send_head(3)
+            await wait_for(lambda: gate.open_requests)
+            caller.close()
+            await wait_for(lambda: not gate.open_requests)
+
+    asyncio.run(scenario())
