Log why a connection is closed before its answer

Cause: a connection that a caller, this instance or the HTTP server closed before the answer was complete left no line that told who closed it. Callers that left within a body and malformed bodies left none at all, heads that the server refused went to a logger without a handler, and a refused large body had no request identifier.

Change: one line connection_closed with the reason, the request, and what had been received and written, at most one for each request; the messages of the HTTP server become lines http_server, and a refusal of the server is told apart from a caller that left. The limit on the rate of lines bounds both.

Before: none of these lines existed.

Conclusion: the reason is in the log, except for a head that stays incomplete until the idle timeout: the server closes such a connection silently.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -16,6 +16,7 @@
 from anvilhall.exceptions import (
     AnvilhallError,
     BodyTooLarge,
+    CallerGone,
     MalformedRequest,
     ShuttingDown,
     UnknownAccount,
@@ -24,7 +25,9 @@
 from anvilhall.execution import Execution, Services
 from anvilhall.gate import Gate
 from anvilhall.jobs import ChatBody, Job
+from anvilhall.logs import log_event
 from anvilhall.outbound import Reply
+from anvilhall.parsing import get_refusal
 from anvilhall.upstreams import WIRES
 
 CLASS_HEADER = 'Anvilhall-Class'
@@ -33,6 +36,8 @@
 REQUEST_ID_HEADER = 'Anvilhall-Request-Id'
 OUTCOME_HEADER = 'Anvilhall-Outcome'
 CODE_HEADER = 'Anvilhall-Error'
+#: Reason in the log for the end of a connection whose caller does not read.
+SLOW_CALLER = 'slow_caller'
 
 _BEARER = 'Bearer '
 _JSON = 'application/json'
@@ -106,6 +111,9 @@
         self._task = None
         #: Whether the end of this instance cuts the request.
         self._stopping = False
+        self._close_logged = False
+        #: Bytes of the answer's body that were written.
+        self.written = 0
         self._class_name = ''
         self.request_id = uuid.uuid4().hex
 
@@ -129,11 +137,39 @@
         super().on_connection_close()
         if self._finished:
             return
+        self.log_close(
+            MalformedRequest.code if get_refusal() else CallerGone.code
+        )
         if self._task:
             self._task.cancel()
         else:
             self.on_finish()
 
+    def close_slow(self) -> None:
+        """Cancel the request of a caller that does not read its answer."""
+        self.log_close(SLOW_CALLER)
+        if self._task:
+            self._task.cancel()
+
+    def log_close(self, reason: str) -> None:
+        """Log that the connection is closed before the answer was sent.
+
+        :param reason: code of an error, or another word.
+        """
+        if self._close_logged:
+            return
+        self._close_logged = True
+        log_event(
+            'connection_closed',
+            reason=reason,
+            request_id=self.request_id,
+            path=self.request.path,
+            received_bytes=self._size,
+            relayed=self._task is not None,
+            head_written=self._headers_written,
+            written_bytes=self.written,
+        )
+
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
         self.context.open.discard(self)
@@ -332,6 +368,7 @@
         handler = self._handler
         handler.write(events)
         self._relayed_bytes += len(events)
+        handler.written = self._relayed_bytes
         if self._flushing is None or self._flushing.done():
             self._unsent_bytes = 0
             self._flushing = handler.flush()
@@ -354,7 +391,7 @@
     def _add_unsent(self, size: int) -> None:
         self._unsent_bytes += size
         if self._unsent_bytes > _UNSENT_LIMIT_BYTES:
-            self._handler.on_connection_close()
+            self._handler.close_slow()
 
     def _count_relayed(self) -> None:
         self._handler.context.gate.count_relayed_bytes(self._relayed_bytes)
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -32,6 +32,7 @@
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
 from anvilhall.outbound import CurlOutbound, Outbound
+from anvilhall.parsing import log_refusals
 from anvilhall.tasks import TaskSet
 
 #: Seconds between two ticks of the fleet.
@@ -158,6 +159,7 @@
         self._callers = CallerContext(
             self.gate, self.services, self.answer_cache
         )
+        log_refusals()
         self._servers: list[HTTPServer] = []
         self._tasks = TaskSet(self.metrics)
 
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -22,6 +22,7 @@
 
 from anvilhall.callers import (
     REQUEST_ID_HEADER,
+    SLOW_CALLER,
     encode_error,
     exceeds_limit,
 )
@@ -40,6 +41,7 @@
 )
 from anvilhall.local import split_address
 from anvilhall.logs import log_event
+from anvilhall.parsing import get_refusal, log_refusals
 from anvilhall.relaying import Relay
 from anvilhall.relayjobs import CallerRequest, RelayJob, RelayServices
 
@@ -207,6 +209,9 @@
         self._relay: Relay | None = None
         self._error: AnvilhallError | None = None
         self._response_started = False
+        #: Whether the whole response has been written.
+        self._answered = False
+        self._close_logged = False
         self._has_body = False
         #: Whether the end of this instance cuts the request.
         self._stopping = False
@@ -214,6 +219,8 @@
         self._path = ''
         #: Bytes written but not flushed to the socket yet.
         self._unsent = 0
+        #: Bytes of the response's body that were written.
+        self._written = 0
         self._request_id = ''
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
@@ -223,6 +230,7 @@
         self._connection.stream.set_nodelay(True)
         self._body_limit = self._context.limits.body_bytes
         self._connection.set_max_body_size(self._body_limit)
+        self._request_id = headers.get(REQUEST_ID_HEADER, '')
         self._host = headers.get('Host', '')
         self._path = start_line.path
         self._has_body = (
@@ -231,7 +239,6 @@
         try:
             self._job = self._context.build_job(start_line, headers)
             self._check_length(headers)
-            self._request_id = self._job.request_id
         except BodyTooLarge as too_large:
             self._refuse(too_large)
         except AnvilhallError as error:
@@ -239,7 +246,6 @@
             # with unread bytes resets it, and the caller might not get the
             # response.
             self._error = error
-            self._request_id = headers.get(REQUEST_ID_HEADER, '')
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the request body."""
@@ -274,6 +280,10 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request, as the caller has disconnected."""
+        if self._task or not self._answered:
+            self.log_close(
+                MalformedRequest.code if get_refusal() else CallerGone.code
+            )
         if self._task:
             self._task.cancel()
         else:
@@ -313,6 +323,28 @@
         self._context.idle.discard(self)
         self._connection.close()
 
+    def log_close(self, reason: str) -> None:
+        """Log that the connection is closed before the response was sent.
+
+        :param reason: code of an error, or another word.
+        """
+        if self._close_logged:
+            return
+        self._close_logged = True
+        log_event(
+            'connection_closed',
+            reason=reason,
+            request_id=self._request_id,
+            host=self._host,
+            path=self._path,
+            received_bytes=self._body_size,
+            relayed=self._task is not None,
+            head_written=self._response_started,
+            written_bytes=self._written,
+            unsent_bytes=self._unsent,
+            answered=self._answered,
+        )
+
     def send_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the status line and headers of the response."""
         self._response_started = True
@@ -327,8 +359,10 @@
         """Send a chunk of the response body."""
         self._context.services.metrics.bytes_relayed.inc(len(chunk))
         self._unsent += len(chunk)
+        self._written += len(chunk)
         if self._unsent > _UNSENT_LIMIT_BYTES:
             # The caller does not read, and the buffer must stay bounded.
+            self.log_close(SLOW_CALLER)
             self._connection.close()
             self.on_connection_close()
             return
@@ -365,6 +399,7 @@
             error = AnvilhallError(f'{kind}: {unexpected}')
             self._fail(error, relay)
         else:
+            self._answered = True
             self._connection.finish()
         finally:
             self._release()
@@ -388,6 +423,7 @@
             self._refuse(error)
             return
         self._count_error(error)
+        self.log_close(error.code)
         # Closing early tells the caller that the response is incomplete.
         self._connection.close()
 
@@ -406,6 +442,7 @@
             # The rest of the body stays unread.
             headers['Connection'] = 'close'
         self._connection.write_headers(start_line, headers, body)
+        self._answered = True
         self._connection.finish()
         if self._task is None:
             self._release()
@@ -485,6 +522,7 @@
         :param limits: apply until :meth:`set_limits` is called.
         """
         self._context = context
+        log_refusals()
         self._server = HTTPServer(
             self,
             max_header_size=limits.header_bytes,
@@ -528,6 +566,8 @@
 
     async def close(self) -> None:
         """Close all connections, also those with requests in flight."""
+        for request in list(self._context.open):
+            request.log_close(ShuttingDown.code)
         await self._server.close_all_connections()
 
     def start_request(
--- a/tests/rawcaller.py
+++ b/tests/rawcaller.py
@@ -1,11 +1,15 @@
 """A caller that sends a request in pieces and reads the answer byte by byte."""
 
 import asyncio
+import socket
 
 #: Scenarios that run at once on one event loop.
 _AT_ONCE = 4
 #: Seconds within which an answer must end.
 ANSWER_S = 10
+#: Bytes of an answer that are kept unread.
+_NARROW_BYTES = 1024
+_WIDE_BYTES = 64 * 1024
 _HEAD_END = b'\r\n\r\n'
 
 
@@ -38,10 +42,21 @@
         self._head = '\r\n'.join((*lines, framing, '', '')).encode()
         self._body = body
 
-    async def connect(self, port):
-        """Connect to a port of the loopback interface."""
+    async def connect(self, port, *, narrow=False):
+        """Connect to a port of the loopback interface.
+
+        :param narrow: whether few bytes fit into the connection, so that the
+            rest of an answer that is not read waits at its sender.
+        """
+        caller = socket.socket()
+        if narrow:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ('127.0.0.1', port))
         self._reader, self._writer = await asyncio.open_connection(
-            '127.0.0.1', port
+            sock=caller, limit=_NARROW_BYTES if narrow else _WIDE_BYTES
         )
 
     def continue_on(self, other):
