Close the connection of a caller that does not read its chat

Cause: a chat whose caller left more than the limit unread was cancelled like that of a caller that had left. The handler then ended, and the server ended the response: the rest of the buffer was sent with the last chunk of HTTP, so that a slow caller got a cut answer whose framing was whole.

Ruled out: the relay, which closes the connection.

Change: the connection is closed, as a sign that the answer is incomplete.

Before: test_caller_that_does_not_read_its_chat_is_closed_and_logged failed (the answer ended as whole, without [DONE] or an error).

Conclusion: an incomplete answer ends with its connection or an error event.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.web import Application, RequestHandler, stream_request_body
 
@@ -146,8 +147,11 @@
             self.on_finish()
 
     def close_slow(self) -> None:
-        """Cancel the request of a caller that does not read its answer."""
+        """Close the connection of a caller that does not read its answer."""
         self.log_close(SLOW_CALLER)
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)  # noqa: S101
+        connection.close()
         if self._task:
             self._task.cancel()
 
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -222,7 +222,8 @@
     _run_own(root_json, scenario)
 
 
-def test_caller_that_does_not_read_its_chat_is_logged(
+# Guards against a slow caller whose answer ends as if it were complete.
+def test_caller_that_does_not_read_its_chat_is_closed_and_logged(
     root_json, lines, monkeypatch
 ):
     monkeypatch.setattr('anvilhall.callers._UNSENT_LIMIT_BYTES', 100_000)
@@ -239,6 +240,7 @@
         await wait_for(lambda: not instance.gate.open_requests)
         (line,) = lines
         assert line['reason'] == 'slow_caller'
+        assert not (await caller.read_answer()).whole
 
     _run_own(root_json, scenario, engines=0)
 
