--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.web import Application, RequestHandler, stream_request_body
 
@@ -16,6 +17,7 @@
 from anvilhall.exceptions import (
     AnvilhallError,
     BodyTooLarge,
+    CallerGone,
     MalformedRequest,
     ShuttingDown,
     UnknownAccount,
@@ -24,7 +26,9 @@
 from anvilhall.execution import Execution, Services
 from anvilhall.gate import Gate
 from anvilhall.jobs import ChatBody, Job
+from anvilhall.logs import log_event
 from anvilhall.outbound import Reply
+from anvilhall.parsing import get_refusal
 from anvilhall.upstreams import WIRES
 
 CLASS_HEADER = 'Anvilhall-Class'
@@ -33,6 +37,8 @@
 REQUEST_ID_HEADER = 'Anvilhall-Request-Id'
 OUTCOME_HEADER = 'Anvilhall-Outcome'
 CODE_HEADER = 'Anvilhall-Error'
+#: Reason in the log for the end of a connection whose caller does not read.
+SLOW_CALLER = 'slow_caller'
 
 _BEARER = 'Bearer '
 _JSON = 'application/json'
@@ -100,10 +106,15 @@
         self.context = context
         self._parts: list[bytes] = []
         self._size = 0
+        #: Largest body by the settings in force when the head arrived.
+        self._body_limit = 0
         self._admitted = False
         self._task = None
         #: Whether the end of this instance cuts the request.
         self._stopping = False
+        self._close_logged = False
+        #: Bytes of the answer's body that were written.
+        self.written = 0
         self._class_name = ''
         self.request_id = uuid.uuid4().hex
 
@@ -119,14 +130,50 @@
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, unless the body exceeds the limit."""
         self._size += len(chunk)
-        if self._size <= self.context.gate.tree.guards.body_bytes:
+        if self._size <= self._body_limit:
             self._parts.append(chunk)
 
     def on_connection_close(self) -> None:
         """Cancel the request when its caller disconnects."""
+        super().on_connection_close()
+        if self._finished:
+            return
+        self.log_close(
+            MalformedRequest.code if get_refusal() else CallerGone.code
+        )
+        if self._task:
+            self._task.cancel()
+        else:
+            self.on_finish()
+
+    def close_slow(self) -> None:
+        """Close the connection of a caller that does not read its answer."""
+        self.log_close(SLOW_CALLER)
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)  # noqa: S101
+        connection.close()
         if self._task:
             self._task.cancel()
 
+    def log_close(self, reason: str) -> None:
+        """Log that the connection is closed before the answer was sent.
+
+        :param reason: code of an error, or another word.
+        """
+        if self._close_logged:
+            return
+        self._close_logged = True
+        log_event(
+            'connection_closed',
+            reason=reason,
+            request_id=self.request_id,
+            path=self.request.path,
+            received_bytes=self._size,
+            relayed=self._task is not None,
+            head_written=self._headers_written,
+            written_bytes=self.written,
+        )
+
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
         self.context.open.discard(self)
@@ -212,12 +259,12 @@
     def check_body(self) -> None:
         """Check the size of a received body, which may lack a length header.
 
-        :raises BodyTooLarge: if the body exceeds the limit in the settings.
+        :raises BodyTooLarge: if the body exceeds the limit.
         """
-        limit = self.context.gate.tree.guards.body_bytes
-        if self._size > limit:
+        if self._size > self._body_limit:
             raise BodyTooLarge(
-                f'the body has {self._size} bytes; the limit is {limit}',
+                f'the body has {self._size} bytes; '
+                f'the limit is {self._body_limit}',
             )
 
     def _check_head(self) -> None:
@@ -226,12 +273,12 @@
         self._admitted = True
         self.context.open.add(self)
         self._account = gate.tree.find_account(self._read_account_key())
+        self._body_limit = gate.tree.guards.body_bytes
         declared = self.request.headers.get('Content-Length', '0')
-        limit = gate.tree.guards.body_bytes
-        if exceeds_limit(declared, limit):
+        if exceeds_limit(declared, self._body_limit):
             raise BodyTooLarge(
                 f'Content-Length is {declared[:_SHOWN_DIGITS]}; '
-                f'the limit is {limit} bytes',
+                f'the limit is {self._body_limit} bytes',
             )
 
     def _read_account_key(self) -> str:
@@ -325,6 +372,7 @@
         handler = self._handler
         handler.write(events)
         self._relayed_bytes += len(events)
+        handler.written = self._relayed_bytes
         if self._flushing is None or self._flushing.done():
             self._unsent_bytes = 0
             self._flushing = handler.flush()
@@ -347,7 +395,7 @@
     def _add_unsent(self, size: int) -> None:
         self._unsent_bytes += size
         if self._unsent_bytes > _UNSENT_LIMIT_BYTES:
-            self._handler.on_connection_close()
+            self._handler.close_slow()
 
     def _count_relayed(self) -> None:
         self._handler.context.gate.count_relayed_bytes(self._relayed_bytes)
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -22,6 +22,7 @@
 
 from anvilhall.callers import (
     REQUEST_ID_HEADER,
+    SLOW_CALLER,
     encode_error,
     exceeds_limit,
 )
@@ -40,6 +41,7 @@
 )
 from anvilhall.local import split_address
 from anvilhall.logs import log_event
+from anvilhall.parsing import get_refusal, log_refusals
 from anvilhall.relaying import Relay
 from anvilhall.relayjobs import CallerRequest, RelayJob, RelayServices
 
@@ -127,6 +129,12 @@
             raise NotReady(retry_after_s=_NOT_READY_RETRY_S)
         return settings
 
+    @property
+    def limits(self) -> RequestLimits:
+        """Limits of the requests that arrive now."""
+        settings = self._get_settings()
+        return settings.limits if settings else RequestLimits()
+
     def build_job(
         self,
         start_line: RequestStartLine,
@@ -194,11 +202,16 @@
         self._connection = connection
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        #: Largest body by the settings in force when the head arrived.
+        self._body_limit = 0
         self._job: RelayJob | None = None
         self._task: asyncio.Task[None] | None = None
         self._relay: Relay | None = None
         self._error: AnvilhallError | None = None
         self._response_started = False
+        #: Whether the whole response has been written.
+        self._answered = False
+        self._close_logged = False
         self._has_body = False
         #: Whether the end of this instance cuts the request.
         self._stopping = False
@@ -206,6 +219,8 @@
         self._path = ''
         #: Bytes written but not flushed to the socket yet.
         self._unsent = 0
+        #: Bytes of the response's body that were written.
+        self._written = 0
         self._request_id = ''
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
@@ -213,6 +228,9 @@
         self._context.idle.discard(self)
         self._context.open.add(self)
         self._connection.stream.set_nodelay(True)
+        self._body_limit = self._context.limits.body_bytes
+        self._connection.set_max_body_size(self._body_limit)
+        self._request_id = headers.get(REQUEST_ID_HEADER, '')
         self._host = headers.get('Host', '')
         self._path = start_line.path
         self._has_body = (
@@ -221,7 +239,6 @@
         try:
             self._job = self._context.build_job(start_line, headers)
             self._check_length(headers)
-            self._request_id = self._job.request_id
         except BodyTooLarge as too_large:
             self._refuse(too_large)
         except AnvilhallError as error:
@@ -229,19 +246,17 @@
             # with unread bytes resets it, and the caller might not get the
             # response.
             self._error = error
-            self._request_id = headers.get(REQUEST_ID_HEADER, '')
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the request body."""
         if self._response_started or self._error:
             return
         self._body_size += len(chunk)
-        limits = self._context.settings.limits
-        if self._body_size > limits.body_bytes:
+        if self._body_size > self._body_limit:
             self._body_chunks.clear()
             self._refuse(
                 BodyTooLarge(
-                    f'got {self._body_size} bytes, limit {limits.body_bytes}',
+                    f'got {self._body_size} bytes, limit {self._body_limit}',
                 ),
             )
             return
@@ -265,6 +280,10 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request, as the caller has disconnected."""
+        if self._task or not self._answered:
+            self.log_close(
+                MalformedRequest.code if get_refusal() else CallerGone.code
+            )
         if self._task:
             self._task.cancel()
         else:
@@ -304,6 +323,28 @@
         self._context.idle.discard(self)
         self._connection.close()
 
+    def log_close(self, reason: str) -> None:
+        """Log that the connection is closed before the response was sent.
+
+        :param reason: code of an error, or another word.
+        """
+        if self._close_logged:
+            return
+        self._close_logged = True
+        log_event(
+            'connection_closed',
+            reason=reason,
+            request_id=self._request_id,
+            host=self._host,
+            path=self._path,
+            received_bytes=self._body_size,
+            relayed=self._task is not None,
+            head_written=self._response_started,
+            written_bytes=self._written,
+            unsent_bytes=self._unsent,
+            answered=self._answered,
+        )
+
     def send_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the status line and headers of the response."""
         self._response_started = True
@@ -318,8 +359,10 @@
         """Send a chunk of the response body."""
         self._context.services.metrics.bytes_relayed.inc(len(chunk))
         self._unsent += len(chunk)
+        self._written += len(chunk)
         if self._unsent > _UNSENT_LIMIT_BYTES:
             # The caller does not read, and the buffer must stay bounded.
+            self.log_close(SLOW_CALLER)
             self._connection.close()
             self.on_connection_close()
             return
@@ -356,6 +399,7 @@
             error = AnvilhallError(f'{kind}: {unexpected}')
             self._fail(error, relay)
         else:
+            self._answered = True
             self._connection.finish()
         finally:
             self._release()
@@ -379,6 +423,7 @@
             self._refuse(error)
             return
         self._count_error(error)
+        self.log_close(error.code)
         # Closing early tells the caller that the response is incomplete.
         self._connection.close()
 
@@ -397,6 +442,7 @@
             # The rest of the body stays unread.
             headers['Connection'] = 'close'
         self._connection.write_headers(start_line, headers, body)
+        self._answered = True
         self._connection.finish()
         if self._task is None:
             self._release()
@@ -404,10 +450,10 @@
 
     def _check_length(self, headers: HTTPHeaders) -> None:
         declared = headers.get('Content-Length', '0')
-        limit = self._context.settings.limits.body_bytes
-        if exceeds_limit(declared, limit):
+        if exceeds_limit(declared, self._body_limit):
             raise BodyTooLarge(
-                f'body of {declared[:_SHOWN_DIGITS]} bytes, limit {limit}',
+                f'body of {declared[:_SHOWN_DIGITS]} bytes, '
+                f'limit {self._body_limit}',
             )
 
     def _release(self) -> None:
@@ -476,7 +522,7 @@
         :param limits: apply until :meth:`set_limits` is called.
         """
         self._context = context
-        self._limits = limits
+        log_refusals()
         self._server = HTTPServer(
             self,
             max_header_size=limits.header_bytes,
@@ -489,8 +535,7 @@
         self._server.listen(port, host)
 
     def set_limits(self, limits: RequestLimits) -> None:
-        """Replace the limits for subsequent requests."""
-        self._limits = limits
+        """Replace the limits of heads and idle connections."""
         parameters = self._server.conn_params
         parameters.max_header_size = limits.header_bytes
         parameters.header_timeout = limits.idle_s * _IDLE_MARGIN
@@ -521,6 +566,8 @@
 
     async def close(self) -> None:
         """Close all connections, also those with requests in flight."""
+        for request in list(self._context.open):
+            request.log_close(ShuttingDown.code)
         await self._server.close_all_connections()
 
     def start_request(
@@ -530,7 +577,6 @@
     ) -> HTTPMessageDelegate:
         """Return the handler of the next request on a connection."""
         assert isinstance(request_conn, HTTP1Connection)  # noqa: S101
-        request_conn.set_max_body_size(self._limits.body_bytes)
         return RelayRequest(self._context, request_conn)
 
 
