Keep a stalled chat of the own interface open until an engine is granted

Cause: the watchdog of an attempt aborted it at the time limit of its pool, and only then was another engine asked for, as in the relay.

Ruled out: nothing further; the cause is that of the relay.

Change: chats of idempotent, resumable classes use the same handover as relayed streams. Attempts are limited and the retry budget is charged at the move, which needs no backoff. Other chats and plain services keep the watchdog.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -10,6 +10,7 @@
 from anvilhall import defaults
 from anvilhall.claims import ClaimManager
 from anvilhall.clock import Clock
+from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
 from anvilhall.core.ledger import Claim
 from anvilhall.core.messages import Ask, Grant, Progress, Release
@@ -28,6 +29,7 @@
     DeadlinePassed,
     Outcome,
     Paused,
+    ShuttingDown,
     UpstreamCut,
     UpstreamFailed,
     UpstreamGarbled,
@@ -35,6 +37,7 @@
     UpstreamStalled,
 )
 from anvilhall.grants import PendingGrant, note_limit
+from anvilhall.handover import Handover
 from anvilhall.jobs import Job
 from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
@@ -70,6 +73,7 @@
     """Dependencies shared by all executions of an instance."""
 
     __slots__ = (
+        'activity',
         'broker',
         'claims',
         'clock',
@@ -98,6 +102,7 @@
         self.retry_budget = RetryBudget(defaults.RETRY_BUDGET_SHARE)
         self.rng = rng
         self.shutdown = Shutdown()
+        self.activity = RunnerActivity()
 
 
 class Execution:
@@ -111,6 +116,7 @@
         '_failed_attempts',
         '_job',
         '_may_have_run',
+        '_moved',
         '_runners',
         '_services',
         '_sink',
@@ -131,6 +137,8 @@
         self._avoided_runners: tuple[str, ...] = ()
         #: Runners of all attempts.
         self._runners: set[str] = set()
+        #: Grant of the runner that the answer moves to, if it moves.
+        self._moved: PendingGrant | None = None
         self._claim: Claim | None = None
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
@@ -163,6 +171,8 @@
                 self._count_retry(error)
             else:
                 return
+            if self._moved:
+                continue
             backoff_s = draw_backoff_s(
                 self._failed_attempts,
                 self._services.rng,
@@ -188,18 +198,64 @@
             begun=bool(self._delivered), may_have_run=self._may_have_run
         )
 
-    async def _attempt(self) -> None:
-        self.check_shutdown()
-        pending_grant = PendingGrant()
-        ask = self._build_ask()
-        grant = await pending_grant.wait(self._services.broker, ask)
-        attempt = _Attempt(
-            self._job,
-            grant,
-            self._services,
-            repeated=grant.runner in self._runners,
+    def build_ask(self, avoid: tuple[str, ...] = ()) -> Ask:
+        """Return the message that asks for a runner.
+
+        :param avoid: runners to avoid besides those that failed.
+        """
+        now = self._services.clock.monotonic()
+        delivered = (
+            decode_answer(self._delivered).tokens if self._delivered else 0
         )
+        return self._job.build_ask(
+            now, (*self._avoided_runners, *avoid), delivered
+        )
+
+    def find_obstacle(self) -> str:
+        """Return why the answer may not be moved; empty if it may."""
+        try:
+            self.check_shutdown()
+        except ShuttingDown as error:
+            return f'{error.code}: {error.reason}'
+        if self._failed_attempts + 1 >= defaults.ATTEMPTS_LIMIT:
+            return 'the attempts of the request are spent'
+        return ''
+
+    def try_spend_retry(self) -> bool:
+        """Take a retry from the budget; return whether one was left."""
+        return self._services.retry_budget.try_spend(
+            self._services.clock.monotonic(),
+        )
+
+    def _build_attempt(self, grant: Grant) -> '_Attempt':
+        services = self._services
+        repeated = grant.runner in self._runners
         self._runners.add(grant.runner)
+        attempt = _Attempt(self._job, grant, services, repeated=repeated)
+        settings = self._job.settings
+        if self._wire.streams and settings.resumable and self._job.retryable:
+            attempt.handover = Handover(
+                attempt,
+                self,
+                services.broker,
+                services.clock,
+                services.activity,
+            )
+        return attempt
+
+    def _prepare_grant(self) -> PendingGrant:
+        """Return the grant that the answer moves with, or an unresolved one."""
+        moved = self._moved
+        self._moved = None
+        if moved is None:
+            self.check_shutdown()
+        return moved or PendingGrant()
+
+    async def _attempt(self) -> None:
+        pending_grant = self._prepare_grant()
+        ask = self.build_ask()
+        grant = await pending_grant.wait(self._services.broker, ask)
+        attempt = self._build_attempt(grant)
         try:
             await self._send(attempt, pending_grant)
         except asyncio.CancelledError:
@@ -210,6 +266,7 @@
                 self._may_have_run = True
             if pending_grant.paused:
                 raise Paused from error
+            self._moved = attempt.take_next_grant()
             self._record_failure(attempt, error)
             log_failed_attempt(
                 ask,
@@ -243,13 +300,6 @@
                 attempt.grant.runner,
             )
 
-    def _build_ask(self) -> Ask:
-        now = self._services.clock.monotonic()
-        delivered = (
-            decode_answer(self._delivered).tokens if self._delivered else 0
-        )
-        return self._job.build_ask(now, self._avoided_runners, delivered)
-
     async def _claim_key(self) -> None:
         needed = self._job.key and not self._job.settings.idempotent
         if needed and self._claim is None:
@@ -303,13 +353,11 @@
             delivered=bool(self._delivered),
             resumable=self._job.settings.resumable,
         )
-        if isinstance(error, Paused):
+        if isinstance(error, Paused) or self._moved:
             return True
         if not allowed or self._failed_attempts >= defaults.ATTEMPTS_LIMIT:
             return False
-        return self._services.retry_budget.try_spend(
-            self._services.clock.monotonic(),
-        )
+        return self.try_spend_retry()
 
     def _count_retry(self, error: AnvilhallError) -> None:
         self._services.metrics.retries.labels(
@@ -349,6 +397,7 @@
         'failure',
         'first_token_s',
         'grant',
+        'handover',
         'served',
         'transfer',
     )
@@ -376,6 +425,8 @@
         #: Limit that the answer names; ``None`` before the answer and, as a
         #: stream may end long after its head, once it is reported.
         self._requests_per_s: float | None = None
+        #: Moves the answer if it stalls; ``None`` if it is not resumable.
+        self.handover: Handover | None = None
 
     async def exchange(self, wire: Wire) -> Reply:
         """Return the whole response of a plain service."""
@@ -428,7 +479,11 @@
             accepted = status == _HTTP_OK
             self._check_refusal(status, headers)
 
-        watchdog = self._start_watchdog()
+        activity = self._services.activity
+        activity.begin(self.grant.runner, self._granted_at)
+        watchdog = None if self.handover else self._start_watchdog()
+        if self.handover:
+            self.handover.start()
         try:
             reply = await self._services.outbound.stream(
                 call,
@@ -441,11 +496,15 @@
         else:
             failure = _find_status_error(reply)
         finally:
-            watchdog.cancel()
+            activity.end(self.grant.runner)
+            if watchdog:
+                watchdog.cancel()
         self._check_end(errors, failure, forward)
 
     def close(self) -> None:
         """Release the grant; cancel a request that may still be running."""
+        if self.handover:
+            self.handover.close()
         if not self.served:
             self.transfer.abort()
             if self.transfer.sent:
@@ -493,6 +552,7 @@
         now = self._services.clock.monotonic()
         gap_s = now - self._last_chunk_at
         self._last_chunk_at = now
+        self._services.activity.note(self.grant.runner, now)
         events = self._reader.feed(chunk)
         if events:
             forward(events)
@@ -504,6 +564,8 @@
                 _MIN_FIRST_TOKEN_S,
             )
             self._report(now)
+        if self.handover:
+            self.handover.note_progress()
         interval_s = _PROGRESS_INTERVAL_S
         if gap_s >= _LONG_GAP_S:
             interval_s = _LONG_GAP_S
@@ -551,14 +613,28 @@
         """Return the seconds since the grant."""
         return self._services.clock.monotonic() - self._granted_at
 
-    def compute_time_left_s(self) -> float:
-        """Return the seconds left until the runner counts as stalled."""
+    @property
+    def stall_timeout_s(self) -> float:
+        """Seconds without data after which the runner counts as stalled."""
         pool = self._job.pool
-        limit = self._granted_at + pool.first_byte_timeout_s
         if self.first_token_s:
-            limit = self._last_chunk_at + pool.gap_timeout_s
+            return pool.gap_timeout_s
+        return pool.first_byte_timeout_s
+
+    def compute_time_left_s(self) -> float:
+        """Return the seconds left until the runner counts as stalled."""
+        began = self._last_chunk_at if self.first_token_s else self._granted_at
+        limit = began + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
 
+    def take_next_grant(self) -> PendingGrant | None:
+        """Return the grant of the runner that the answer moves to, if any."""
+        return self.handover.take() if self.handover else None
+
+    def abort_stalled(self) -> None:
+        """End the attempt with an error, as another runner is granted."""
+        self.transfer.abort()
+
     def _detect_stall(self, error: AnvilhallError) -> AnvilhallError:
         """Replace the error of a transfer that the watchdog aborted."""
         if self.transfer.sent and self.compute_time_left_s() <= 0:
