Charge and count a request that moves as one request

Cause: the ask for another runner looked like that of a further request. An account or class at its limit of concurrent requests could not leave a dead engine, and each repeated ask was charged to the limits of requests and tokens a second. A request that was cut after a move and again counted as two requests in the evidence on prompts that crash runners.

Ruled out: asks without a place in the queue (at_once). They never get a slot at a pool where others wait.

Change: such an ask says so (moves): it is not checked against the limits of its account and class, nor charged; it counts as running. The identifier of its grant is that of the request, a line break, which headers can't contain, and a number, and the evidence uses the request's. Asks are repeated after 0.2 s instead of 0.1 s, as some end in a grant that is not used.

--- a/src/anvilhall/core/admission.py
+++ b/src/anvilhall/core/admission.py
@@ -53,7 +53,14 @@
             raise ClassLimited(retry_after_s=wait_s)
 
     def admit(self, ask: Ask) -> None:
-        """Charge a request that :meth:`check` has let pass."""
+        """Charge a request that :meth:`check` has let pass.
+
+        One that moves only counts as running once more.
+        """
+        if ask.moves:
+            self._by_account.setdefault(ask.account, Meter()).running += 1
+            self._by_class.setdefault(ask.class_name, Meter()).running += 1
+            return
         tokens = self.estimate_tokens(ask)
         self._by_account[ask.account].admit(tokens)
         self._by_class[ask.class_name].admit(tokens)
--- a/src/anvilhall/core/losses.py
+++ b/src/anvilhall/core/losses.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from anvilhall.core.evidence import Loss
-from anvilhall.core.messages import Ask, Release
+from anvilhall.core.messages import Ask, Release, get_request_id
 from anvilhall.exceptions import UpstreamCut
 
 #: Losses that are kept for each pool, and for how long, in seconds.
@@ -42,7 +42,9 @@
             losses = self._by_pool.setdefault(
                 release.pool, collections.deque(maxlen=_MAX_LOSSES)
             )
-            loss = Loss(release.request_id, runner, ask.part_names)
+            loss = Loss(
+                get_request_id(release.request_id), runner, ask.part_names
+            )
             losses.append((now, loss))
 
     def list_losses(self, pool: str, now: float) -> tuple[Loss, ...]:
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -15,6 +15,24 @@
 from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.exceptions import PeerProtocolBroken
 
+#: Separates a request's identifier from the number of a further grant. The
+#: identifiers that callers send contain no line break.
+_GRANT_MARK = '\n'
+
+
+def name_grant(held: str, number: int) -> str:
+    """Return the identifier of a further grant for a request.
+
+    :param held: identifier of the grant that the request holds.
+    :param number: number of the ask, from 1 on.
+    """
+    return f'{held}{_GRANT_MARK}{number}'
+
+
+def get_request_id(grant_id: str) -> str:
+    """Return the identifier of the request that a grant is for."""
+    return grant_id.partition(_GRANT_MARK)[0]
+
 
 class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all messages: an array of the class name and the fields."""
@@ -49,6 +67,9 @@
     #: Hash by which the same request of the same account is known when it comes
     #: again; empty if the parts of its prompt identify it.
     digest: str = ''
+    #: Whether the request holds a grant, whose runner it is to leave. It was
+    #: charged to the limits of its account and class with that one.
+    moves: bool = False
 
     @property
     def part_names(self) -> tuple[str, ...]:
--- a/src/anvilhall/core/screening.py
+++ b/src/anvilhall/core/screening.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from anvilhall.core.evidence import CrashEvidence, Loss
-from anvilhall.core.messages import Ask, Release
+from anvilhall.core.messages import Ask, Release, get_request_id
 from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.queues import QueuedRequest
 from anvilhall.exceptions import Quarantined, UpstreamCut
@@ -67,7 +67,7 @@
         # A digest says nothing of the content, so that it does not count here:
         # other requests show whether a prompt's parts are sound.
         crashes = self._evidence.count_crashes(
-            ask.request_id, parts[: len(ask.parts)]
+            get_request_id(ask.request_id), parts[: len(ask.parts)]
         )
         if crashes >= _MAX_CRASHES:
             raise Quarantined(
@@ -115,7 +115,9 @@
             self._evidence.note_served(run.parts)
             self._quarantine.note_served(run.parts, now)
         elif release.failure == UpstreamCut.code:
-            self._note_loss(Loss(release.request_id, runner, run.parts), now)
+            request_id = get_request_id(release.request_id)
+            loss = Loss(request_id, runner, run.parts)
+            self._note_loss(loss, run.first_token_at, now)
         for cause in self._evidence.pop_causes(now):
             self._quarantine.add(cause, now)
 
@@ -129,8 +131,9 @@
         self._runs.pop(request_id, None)
         self._quarantine.end_probe(request_id)
 
-    def _note_loss(self, loss: Loss, now: float) -> None:
-        begun_at = self._runs[loss.request_id].first_token_at
+    def _note_loss(
+        self, loss: Loss, begun_at: float | None, now: float
+    ) -> None:
         if begun_at is not None and now - begun_at >= _BEGIN_S:
             self._evidence.note_served(loss.parts)
         else:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -382,7 +382,8 @@
                 f'pool {self._pool_name!r} has no runner that accepts requests',
                 1.0,
             )
-        self._admission.check(ask, settings, now)
+        if not ask.moves:
+            self._admission.check(ask, settings, now)
         self.screening.check(ask, now)
         return settings
 
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from anvilhall.core.broker import Broker
-from anvilhall.core.messages import Ask, Grant, Release
+from anvilhall.core.messages import Ask, Grant, Release, get_request_id
 from anvilhall.exceptions import RequestRefused
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
@@ -24,7 +24,7 @@
             pool=grant.pool,
             runner=grant.runner,
             requests_per_s=requests_per_s,
-            request_id=grant.request_id,
+            request_id=get_request_id(grant.request_id),
         )
 
 
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -12,14 +12,14 @@
 from anvilhall.clock import Clock
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
-from anvilhall.core.messages import Ask, Grant
+from anvilhall.core.messages import Ask, Grant, name_grant
 from anvilhall.exceptions import RequestRefused
 from anvilhall.grants import PendingGrant
 from anvilhall.logs import log_event
 
 #: Seconds until a runner is asked for again, if none was granted or the granted
 #: one is no better.
-_REPEAT_S = 0.1
+_REPEAT_S = 0.2
 #: Share of the stall timeout for which a runner's streams must all have been
 #: silent for it to be no better: runners may fall silent one after another.
 _SILENT_SHARE = 0.5
@@ -161,7 +161,8 @@
         silent = self._list_silent() - {held.runner}
         self._ask = msgspec.structs.replace(
             self._request.build_ask((held.runner, *sorted(silent))),
-            request_id=f'{held.request_id}+{self._ask_count}',
+            request_id=name_grant(held.request_id, self._ask_count),
+            moves=True,
         )
         self._reason = 'no runner was granted'
         self._pending = PendingGrant()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,7 +6,7 @@
 
 from anvilhall.clock import SystemClock
 from anvilhall.core.activity import RunnerActivity
-from anvilhall.core.messages import Ask, Grant
+from anvilhall.core.messages import Ask, Grant, get_request_id
 from anvilhall.exceptions import Overloaded
 from anvilhall.handover import Handover
 
@@ -119,7 +119,9 @@
         assert taken.future.result().runner == 'new'
         setting.handover.close()
         (ask,) = setting.broker.asks
-        assert ask.request_id not in {'', 'id'}
+        assert ask.request_id != 'id'
+        assert get_request_id(ask.request_id) == 'id'
+        assert ask.moves
         assert ask.avoid == ('old',)
         assert not setting.broker.released
         assert setting.stream.budget == 0
--- a/tests/test_screening.py
+++ b/tests/test_screening.py
@@ -6,7 +6,7 @@
 import pytest
 
 from anvilhall.core.losses import RecentLosses
-from anvilhall.core.messages import Ask, Grant, Progress, Release
+from anvilhall.core.messages import Ask, Grant, Progress, Release, name_grant
 from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.core.shard import Shard
@@ -172,6 +172,33 @@
     desk.serve('first', 'doc-long')
 
 
+# Guards against crashes of one request that count as those of several, because
+# it has moved and so has a further grant.
+def test_crashes_of_a_moved_request_are_those_of_one_request(desk):
+    name, _ = desk.crash(*DEADLY)
+    ask = desk.asks[name]
+    moved = msgspec.structs.replace(
+        ask, request_id=name_grant(name, 1), moves=True
+    )
+    assert not desk.shard.submit('e', moved, desk.now)
+    (action,) = desk.shard.dispatch(desk.now, WALL)
+    assert action.message.request_id == moved.request_id
+    desk.end(moved.request_id, UpstreamCut.code)
+    desk.restart_runner()
+    (refused,) = desk.shard.submit('e', ask, desk.now)
+    assert refused.message.code == Quarantined.code
+
+
+def test_loss_of_a_moved_request_is_reported_under_its_identifier():
+    losses = RecentLosses()
+    ask = Ask('chat', 'q', 'quick', 'ann', 1, 1, 9.0, digest='digest')
+    further = name_grant(name_grant('q', 1), 2)
+    cut = Release('chat', further, served=False, failure=UpstreamCut.code)
+    losses.note_release(ask, cut, 'r/1', 1.0)
+    (loss,) = losses.list_losses('chat', 1.0)
+    assert loss.request_id == 'q'
+
+
 # Guards against crashes being counted anew after the owner has left.
 def test_new_owner_counts_the_losses_that_instances_report(desk, tree):
     losses = RecentLosses()
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -12,6 +12,7 @@
     Progress,
     Refusal,
     Release,
+    name_grant,
 )
 from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.core.schedules import is_active
@@ -166,6 +167,27 @@
     assert len(_get_granted(shard.dispatch(1.2, WALL))) == 2
 
 
+# Guards against a stream that can't leave a dead runner because its account is
+# at its limits, and against asks that are repeated and use them up.
+@pytest.mark.parametrize(
+    'limits',
+    [{'concurrent': 1}, {'requests_per_s': 1}, {'tokens_per_s': 100}],
+)
+def test_ask_of_a_request_that_moves_is_not_charged_again(root_json, limits):
+    root_json['accounts']['ann']['limits'] = limits
+    shard = _build_shard(root_json, runners=2)
+    assert not shard.submit('e', _ask('a', tokens=1), 1.0)
+    shard.dispatch(1.0, WALL)
+    for number in range(40):
+        further = name_grant('a', number)
+        ask = _ask(further, tokens=1, moves=True)
+        assert not shard.submit('e', ask, 1.0)
+        assert _get_granted(shard.dispatch(1.0, WALL)) == [further]
+        shard.release(Release('chat', further, served=False), 1.0)
+    shard.release(Release('chat', 'a', served=True), 1.0)
+    assert not shard.submit('e', _ask('b', tokens=1), 4.0)
+
+
 def test_stall_on_a_runner_that_serves_others_does_not_stop_its_grants(
     root_json,
 ):
