Send answers to their end before a planned stop ends

Cause: a request counted as ended once its answer had been written to its connection's buffer. If its caller read slowly, a stop closed the connection, or ended the process, with a part of the answer unsent, although most of the grace period was left.

Ruled out: what the kernel has taken, which is sent after the close; the case needs an answer larger than the kernel takes for a connection.

Change: both interfaces note connections with unsent bytes when a request ends, and a stop waits for them until its usual end. What is cut then has a line in the log with the reason shutting_down.

Conclusion: a stop cuts no answer before its grace period has passed.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import uuid
+import weakref
 from http import HTTPStatus
 from typing import Any
 
 import msgspec
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from anvilhall.answers import AnswerCache, CachedAnswer
@@ -72,7 +74,7 @@
 class CallerContext:
     """Dependencies shared by all request handlers."""
 
-    __slots__ = ('answer_cache', 'gate', 'open', 'services')
+    __slots__ = ('answer_cache', 'gate', 'open', 'services', 'unsent')
 
     def __init__(
         self,
@@ -86,6 +88,14 @@
         self.answer_cache = answer_cache
         #: Requests that were admitted and have not ended.
         self.open: set[CallerHandler] = set()
+        #: Connections on which a part of the last answer was still unsent when
+        #: its request ended.
+        self.unsent: weakref.WeakSet[IOStream] = weakref.WeakSet()
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer waits for a slow caller."""
+        return any(stream.writing() for stream in self.unsent)
 
     def shut_down(self) -> None:
         """Answer all open requests with an error, as the instance stops."""
@@ -149,9 +159,7 @@
     def close_slow(self) -> None:
         """Close the connection of a caller that does not read its answer."""
         self.log_close(SLOW_CALLER)
-        connection = self.request.connection
-        assert isinstance(connection, HTTP1Connection)  # noqa: S101
-        connection.close()
+        self._get_connection().close()
         if self._task:
             self._task.cancel()
 
@@ -177,6 +185,7 @@
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
         self.context.open.discard(self)
+        self._note_unsent()
         if self._admitted:
             self._admitted = False
             self.context.gate.release()
@@ -267,6 +276,18 @@
                 f'the limit is {self._body_limit}',
             )
 
+    def _get_connection(self) -> HTTP1Connection:
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)  # noqa: S101
+        return connection
+
+    def _note_unsent(self) -> None:
+        stream = self._get_connection().stream
+        if stream.writing():
+            self.context.unsent.add(stream)
+        else:
+            self.context.unsent.discard(stream)
+
     def _check_head(self) -> None:
         gate = self.context.gate
         gate.admit()
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -273,7 +273,11 @@
         self._fleet.tick()
 
     async def _wait_drained(self) -> None:
-        while self.gate.open_requests or not self._claims.all_written:
+        while (
+            self.gate.open_requests
+            or self._callers.has_unsent
+            or not self._claims.all_written
+        ):
             await asyncio.sleep(_DRAIN_POLL_S)
 
     def _serve(self, application: Application, address: str) -> None:
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -19,6 +19,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 
 from anvilhall.callers import (
     REQUEST_ID_HEADER,
@@ -81,11 +82,13 @@
 
     __slots__ = (
         '_get_settings',
+        'closed',
         'closing',
         'idle',
         'measure_view_age_s',
         'open',
         'services',
+        'unsent',
     )
 
     def __init__(
@@ -100,17 +103,22 @@
         self._get_settings = get_settings
         #: Whether new requests are refused and idle connections closed.
         self.closing = False
+        #: Whether this instance closes the connections that are still open.
+        self.closed = False
         #: Requests whose head has not arrived yet, one for each idle
         #: connection. The references are weak, so that entries of connections
         #: that callers close disappear.
         self.idle: weakref.WeakSet[RelayRequest] = weakref.WeakSet()
         #: Requests whose head has arrived and that have not ended.
         self.open: set[RelayRequest] = set()
+        #: Connections on which a part of the last response was still unsent
+        #: when its request ended.
+        self.unsent: weakref.WeakSet[IOStream] = weakref.WeakSet()
 
     @property
     def open_requests(self) -> int:
-        """Number of requests that have not ended."""
-        return len(self.open)
+        """Number of requests that have not ended or are not all sent."""
+        return len(self.open) + sum(each.writing() for each in self.unsent)
 
     @property
     def version(self) -> int:
@@ -281,9 +289,7 @@
     def on_connection_close(self) -> None:
         """Cancel the request, as the caller has disconnected."""
         if self._task or not self._answered:
-            self.log_close(
-                MalformedRequest.code if get_refusal() else CallerGone.code
-            )
+            self._log_close(self._find_close_reason())
         if self._task:
             self._task.cancel()
         else:
@@ -323,7 +329,7 @@
         self._context.idle.discard(self)
         self._connection.close()
 
-    def log_close(self, reason: str) -> None:
+    def _log_close(self, reason: str) -> None:
         """Log that the connection is closed before the response was sent.
 
         :param reason: code of an error, or another word.
@@ -362,7 +368,7 @@
         self._written += len(chunk)
         if self._unsent > _UNSENT_LIMIT_BYTES:
             # The caller does not read, and the buffer must stay bounded.
-            self.log_close(SLOW_CALLER)
+            self._log_close(SLOW_CALLER)
             self._connection.close()
             self.on_connection_close()
             return
@@ -399,8 +405,7 @@
             error = AnvilhallError(f'{kind}: {unexpected}')
             self._fail(error, relay)
         else:
-            self._answered = True
-            self._connection.finish()
+            self._finish()
         finally:
             self._release()
             self._log_end(job, relay, error)
@@ -423,7 +428,7 @@
             self._refuse(error)
             return
         self._count_error(error)
-        self.log_close(error.code)
+        self._log_close(error.code)
         # Closing early tells the caller that the response is incomplete.
         self._connection.close()
 
@@ -442,8 +447,7 @@
             # The rest of the body stays unread.
             headers['Connection'] = 'close'
         self._connection.write_headers(start_line, headers, body)
-        self._answered = True
-        self._connection.finish()
+        self._finish()
         if self._task is None:
             self._release()
             self._log_refusal(error, status)
@@ -459,6 +463,21 @@
     def _release(self) -> None:
         self._context.open.discard(self)
 
+    def _finish(self) -> None:
+        """End the response."""
+        self._answered = True
+        self._connection.finish()
+        stream = self._connection.stream
+        if stream.writing():
+            self._context.unsent.add(stream)
+        else:
+            self._context.unsent.discard(stream)
+
+    def _find_close_reason(self) -> str:
+        if self._context.closed:
+            return ShuttingDown.code
+        return MalformedRequest.code if get_refusal() else CallerGone.code
+
     def _count_error(self, error: AnvilhallError) -> None:
         metrics = self._context.services.metrics
         refused = error.outcome is Outcome.NOT_RUN
@@ -566,8 +585,7 @@
 
     async def close(self) -> None:
         """Close all connections, also those with requests in flight."""
-        for request in list(self._context.open):
-            request.log_close(ShuttingDown.code)
+        self._context.closed = True
         await self._server.close_all_connections()
 
     def start_request(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 from anvilhall.core.shutdown import Shutdown
 from anvilhall.exceptions import ShuttingDown
 from tests.latecaller import LateCaller
+from tests.rawcaller import RawCaller
 from tests.site import HOST, KEY, count_runs, run_site, wait_until
 
 #: Seconds from the signal to the end of the process, and until which requests
@@ -196,3 +197,28 @@
     assert _is_allowed(shutdown, 4.0)
     assert not _is_allowed(shutdown, 6.0)
     assert not _is_allowed(shutdown, math.inf)
+
+
+# Guards against an answer that a stop cuts although its request has ended: the
+# caller reads slowly, and a part of the answer was not sent yet.
+def test_answer_that_is_read_slowly_is_sent_to_its_end():
+    async def scenario():
+        async with run_site() as site:
+            site.runners['desk-0'].body_bytes = 600_000
+            await site.restart_with(grace_s=GRACE_S, linger_s=LINGER_S)
+            lines = (
+                'POST /lookup/1 HTTP/1.1',
+                f'Host: {HOST}',
+                'Anvilhall-Request-Id: slow',
+                f'Anvilhall-Credential: {KEY}',
+            )
+            caller = RawCaller(lines, b'body')
+            await caller.connect(site.ports['g1'], narrow=True)
+            caller.send_head(4)
+            await wait_until(lambda: site.runners['desk-0'].runs)
+            stopping = _stop(site)
+            await asyncio.sleep(LINGER_S * 2)
+            assert (await caller.read_answer()).whole
+            await stopping
+
+    asyncio.run(scenario())
--- a/tests/test_planned_stop_own.py
+++ b/tests/test_planned_stop_own.py
@@ -5,8 +5,10 @@
 import msgspec
 import pytest
 
+from anvilhall_standins.engine import EngineModel
 from tests.cluster import TIMINGS, build_chat, open_cluster, wait_for
 from tests.latecaller import LateCaller
+from tests.rawcaller import RawCaller
 
 DRAIN_S = 1.5
 SHORT_DRAIN = msgspec.structs.replace(TIMINGS, drain_timeout_s=DRAIN_S)
@@ -14,6 +16,10 @@
 TOLERANCE_S = 0.8
 ORDER = ('/services/desk/orders/1', 'order', b'{}')
 CHAT = ('/v1/chat/completions', 'quick', build_chat('hello', 5))
+#: An engine without pauses between words.
+QUICK_ENGINE = EngineModel(
+    prefill_tokens_per_s=1e9, step_base_ms=0, step_per_stream_ms=0
+)
 
 
 def _run_stop(node, scenario):
@@ -102,3 +108,31 @@
         await stopping
 
     _run_stop(root_json, scenario)
+
+
+# Guards against a process that ends although a part of an answer was not sent
+# yet, as its caller reads slowly.
+def test_answer_that_is_read_slowly_is_sent_to_its_end(root_json):
+    async def scenario(cluster, last):
+        cluster.add_engine('quick', model=QUICK_ENGINE)
+        engine = cluster.engines['quick']
+        cluster.stop_server('chat-0')
+        lines = (
+            'POST /v1/chat/completions HTTP/1.1',
+            'Host: a',
+            'Authorization: Bearer ann',
+            'Anvilhall-Class: quick',
+        )
+        caller = RawCaller(lines, build_chat('hello', 10_000))
+        await caller.connect(cluster.ports['last'], narrow=True)
+        caller.send_head()
+        caller.send_rest()
+        await wait_for(lambda: engine.started and not engine.running)
+        await wait_for(lambda: not last.gate.open_requests)
+        stopping = asyncio.ensure_future(last.stop())
+        await asyncio.sleep(0.5)
+        assert not stopping.done()
+        assert (await caller.read_answer()).whole
+        await stopping
+
+    _run_stop(root_json, scenario)
