Test streams that callers take up while two versions serve

Cause: nothing reads which stream a request resumes, so that it goes to any runner. The stand-in runners now name their version in events, and the stand-in store has topics without keys and counts its calls. Conclusion: the fault shows without the loss of an instance.

--- a/src/anvilhall_standins/platform/received.py
+++ b/src/anvilhall_standins/platform/received.py
@@ -29,7 +29,7 @@
     @property
     def first_event(self) -> int:
         """Number of the first event that the client has not received."""
-        return int(self.headers.get('Last-Event-Id', '0')) + 1
+        return int(self.headers.get('Last-Event-Id') or '0') + 1
 
     @property
     def parts(self) -> frozenset[str]:
@@ -41,7 +41,7 @@
 class Traits:
     """Lasting properties of a runner."""
 
-    __slots__ = ('deadly_bodies', 'deadly_parts', 'requests_per_s')
+    __slots__ = ('deadly_bodies', 'deadly_parts', 'requests_per_s', 'version')
 
     def __init__(self) -> None:
         """Start without limits and faults."""
@@ -51,6 +51,8 @@
         self.deadly_parts: frozenset[str] = frozenset()
         #: Content of the header that names its limit; empty: no header.
         self.requests_per_s = ''
+        #: Software version, which its events then name; empty: none.
+        self.version = ''
 
     def is_deadly(self, request: ReceivedRequest) -> bool:
         """Return whether a request crashes the runner."""
@@ -59,6 +61,10 @@
         )
 
 
-def build_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b'id: %d\ndata: event %d\n\n' % (number, number)
+def build_event(number: int, version: str = '') -> bytes:
+    """Return one event of a stream.
+
+    :param version: software version of the runner, if events name it.
+    """
+    made_by = f' of {version}' if version else ''
+    return f'id: {number}\ndata: event {number}{made_by}\n\n'.encode()
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -37,6 +37,7 @@
 ``drip``: stream one event and then, byte by byte, one that never ends.
 
 A runner whose traits have ``requests_per_s`` names that limit in its answers.
+One whose traits have a ``version`` names it in each event of a stream.
 One whose traits have ``deadly_parts`` or ``deadly_bodies`` crashes when it
 begins to answer a request whose prompt or body has one of them: all connections
 are reset, and it is away for a while.
@@ -263,7 +264,7 @@
             numbers = range(request.first_event, self.events + 1)
             chunks = b''.join(
                 b'%x\r\n%s\r\n' % (len(event), event)
-                for event in map(build_event, numbers)
+                for event in map(self._build_event, numbers)
             )
             head = self._build_head(request, _STREAM_LINE, _CHUNKED)
             return b''.join((head, chunks, b'0\r\n\r\n'))
@@ -366,7 +367,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         numbers = range(request.first_event, self.events + 1)
-        events = b''.join(map(build_event, numbers))
+        events = b''.join(map(self._build_event, numbers))
         _, cut, size = behaviour.partition('-cut-')
         if cut:
             events = events[: int(size)]
@@ -403,7 +404,7 @@
     ) -> None:
         head = self._build_head(request, _STREAM_LINE)
         writer.write(head)
-        writer.write(build_event(1))
+        writer.write(self._build_event(1))
         writer.write(b'data: ')
         while True:
             await writer.drain()
@@ -425,6 +426,9 @@
             return True
         return bool(received)
 
+    def _build_event(self, number: int) -> bytes:
+        return build_event(number, self.traits.version)
+
     def _build_body(self, request: ReceivedRequest) -> bytes:
         return f'{self.name} ran {request.request_id}'.encode()
 
@@ -491,7 +495,7 @@
         writer.write(self._build_head(request, _STREAM_LINE, _CHUNKED))
         first = request.first_event
         for number in range(first, self.events + 1):
-            event = build_event(number)
+            event = self._build_event(number)
             if first <= self.cut_after < number:
                 self.cut_after = 0
                 writer.write(b'%x\r\n' % len(event) + event[:6])
--- a/src/anvilhall_standins/platform/store.py
+++ b/src/anvilhall_standins/platform/store.py
@@ -1,4 +1,6 @@
-"""Stand-in for the platform's store: keyed topics with one partition each.
+"""Stand-in for the platform's store: topics with one partition each.
+
+Topics whose names start with ``keyed.`` keep the newest record of each key.
 
 Faults: ``down`` answers all requests with 503; ``silent`` delays all requests
 beyond the duration of any test; ``lost`` closes the connection without a
@@ -8,6 +10,7 @@
 
 import asyncio
 import base64
+import collections
 import struct
 from typing import Any
 
@@ -30,15 +33,20 @@
 #: Most records in one response to ``log-newest``.
 _PAGE_ITEMS = 500
 _MS_PER_S = 1000
+_KEYED_PREFIX = 'keyed.'
 
 
 class Topic:
     """Records in order of offset, and the newest record of each key."""
 
-    __slots__ = ('_first', '_records', 'appended', 'newest')
+    __slots__ = ('_first', '_keyed', '_records', 'appended', 'newest')
 
-    def __init__(self) -> None:
-        """Create an empty topic."""
+    def __init__(self, *, keyed: bool = True) -> None:
+        """Create an empty topic.
+
+        :param keyed: whether its records have keys.
+        """
+        self._keyed = keyed
         self._records: list[bytes] = []
         self._first = 0
         #: Newest content and its offset, by key.
@@ -58,8 +66,9 @@
     async def append(self, frame: bytes) -> int:
         """Append a record and return its offset.
 
-        :param frame: length of the key in one byte, the key, the content; a
-            record without content deletes its key.
+        :param frame: any bytes; in a keyed topic the length of the key in one
+            byte, the key, the content. A record without content deletes its
+            key.
         """
         offset = self._store(frame)
         async with self.appended:
@@ -67,10 +76,12 @@
         return offset
 
     def _store(self, frame: bytes) -> int:
-        key_end = 1 + frame[0]
-        key = frame[1:key_end].decode()
         offset = self.end
         self._records.append(frame)
+        if not self._keyed:
+            return offset
+        key_end = 1 + frame[0]
+        key = frame[1:key_end].decode()
         if len(frame) > key_end:
             self.newest[key] = (frame[key_end:], offset)
         else:
@@ -105,11 +116,13 @@
 class Store:
     """All topics and the faults of the stand-in."""
 
-    __slots__ = ('era', 'faults', 'topics', 'writes')
+    __slots__ = ('calls', 'era', 'faults', 'topics', 'writes')
 
     def __init__(self) -> None:
         """Create a store without topics and faults."""
         self.topics: dict[str, Topic] = {}
+        #: Number of calls by path and topic, failed ones included.
+        self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
         self.faults = Faults()
         #: Number of append requests that took effect.
         self.writes = 0
@@ -118,7 +131,9 @@
 
     def get_topic(self, name: str) -> Topic:
         """Return a topic; the first call creates it."""
-        return self.topics.setdefault(name, Topic())
+        if name not in self.topics:
+            self.topics[name] = Topic(keyed=name.startswith(_KEYED_PREFIX))
+        return self.topics[name]
 
     def restore(self, lost: int) -> None:
         """Come back from a copy without the newest records of each topic."""
@@ -148,7 +163,9 @@
         return super().finish(chunk)
 
     async def prepare(self) -> None:
-        """Apply the faults ``silent`` and ``down``."""
+        """Count the call and apply the faults ``silent`` and ``down``."""
+        topic = self.get_query_argument('topic', '')
+        self._store.calls[self.request.path.strip('/'), topic] += 1
         if self._store.faults.get('silent'):
             await asyncio.sleep(_SILENT_S)
         if self._store.faults.get('down'):
