Name software versions in members, rosters, asks and grants

Cause: the `version` of a runner's entry is decoded nowhere, so that neither an ask nor a grant can name it, and a stream that began at one version may go on at another. Change: members, endpoints, runners and grants have a version (empty: unknown), asks may name one, grants name the start of their runner. A version that changes under one name is a restart. Entries whose version is no text, not printable or longer than 128 characters name no runner. `runners_changed` names versions, and lists restarts. Conclusion: no choice of a runner has changed yet.

--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -122,6 +122,7 @@
                 member.leaving,
                 member.slots,
                 member.born,
+                member.version,
             )
             for member in self._members.values()
             if member.pool == pool
@@ -134,6 +135,11 @@
         member = self._members.get(runner)
         return member.born if member else 0
 
+    def get_version(self, runner: str) -> str:
+        """Return the software version of a runner; empty: unknown."""
+        member = self._members.get(runner)
+        return member.version if member else ''
+
     def is_leaving(self, runner: str) -> bool:
         """Return whether a runner is leaving or unknown."""
         member = self._members.get(runner)
--- a/src/anvilhall/core/members.py
+++ b/src/anvilhall/core/members.py
@@ -20,6 +20,8 @@
     capacity: float = 0.0
     #: Start time of an upstream, in Unix milliseconds; 0: unknown.
     born: int = 0
+    #: Software version of an upstream; empty: unknown. Versions have no order.
+    version: str = ''
 
 
 class MemberList(msgspec.Struct, frozen=True):
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -49,6 +49,8 @@
     #: Hash by which the same request of the same account is known when it comes
     #: again; empty if the parts of its prompt identify it.
     digest: str = ''
+    #: Software version that the runner must have; ``None``: any.
+    version: str | None = None
 
     @property
     def part_names(self) -> tuple[str, ...]:
@@ -66,6 +68,10 @@
     #: Host and port of the runner.
     address: str
     tier: int
+    #: Software version of the runner; empty: unknown.
+    version: str = ''
+    #: Start time of the runner in Unix milliseconds; 0: unknown.
+    born: int = 0
 
 
 class Refusal(_Message, frozen=True):
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -24,6 +24,8 @@
     slots: int = 0
     #: Start time of the runner in Unix milliseconds; 0: unknown.
     born: int = 0
+    #: Software version of the runner; empty: unknown.
+    version: str = ''
 
 
 class Roster:
@@ -198,6 +200,7 @@
             runner is None
             or runner.address != endpoint.address
             or runner.born != endpoint.born
+            or runner.version != endpoint.version
         ):
             # A restarted runner has lost its requests and its prefix cache.
             lost.extend(runner.assignments.values() if runner else ())
@@ -209,6 +212,7 @@
                 self._calibration,
             )
             runner.born = endpoint.born
+            runner.version = endpoint.version
             self.runners[endpoint.name] = runner
         runner.leaving = endpoint.leaving
         runner.advertised_slots = endpoint.slots
--- a/src/anvilhall/core/runners.py
+++ b/src/anvilhall/core/runners.py
@@ -131,6 +131,7 @@
         'health',
         'leaving',
         'name',
+        'version',
     )
 
     def __init__(
@@ -149,6 +150,8 @@
         self.address = address
         #: Start time of the runner in Unix milliseconds; 0: unknown.
         self.born = 0
+        #: Software version of the runner; empty: unknown.
+        self.version = ''
         self._pool = pool
         self.assignments: dict[str, Assignment] = {}
         #: Whether the runner drains: it takes no new requests.
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -370,6 +370,8 @@
             runner=runner.name,
             address=runner.address,
             tier=assignment.tier,
+            version=runner.version,
+            born=runner.born,
         )
 
     def _check(self, ask: Ask, now: float) -> ClassSettings:
--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -264,13 +264,22 @@
     after: Iterable[Member],
     source: str,
 ) -> None:
-    """Log the runners that appeared, disappeared or started to drain."""
-    old = {(member.name, member.leaving) for member in before}
-    new = {(member.name, member.leaving) for member in after}
+    """Log the runners that appeared, restarted, disappeared or drain."""
+    before_names = {member.name for member in before}
+    states = {_describe_state(member) for member in before}
+    changed = [
+        member for member in after if _describe_state(member) not in states
+    ]
+    came = [member for member in changed if not member.leaving]
     log_event(
         'runners_changed',
         source=source,
-        came=sorted(name for name, leaving in new - old if not leaving),
-        leaving=sorted(name for name, leaving in new - old if leaving),
-        gone=sorted({name for name, _ in old} - {name for name, _ in new}),
+        came=sorted(member.name for member in came),
+        versions={member.name: member.version for member in came},
+        leaving=sorted(member.name for member in changed if member.leaving),
+        gone=sorted(before_names - {member.name for member in after}),
     )
+
+
+def _describe_state(member: Member) -> tuple[str, bool, int, str]:
+    return member.name, member.leaving, member.born, member.version
--- a/src/anvilhall/memberlist.py
+++ b/src/anvilhall/memberlist.py
@@ -28,6 +28,8 @@
 #: Largest integer that instances exchange.
 _MAX_INTEGER = 2**63 - 1
 _MAX_SLOTS = 2**31 - 1
+#: Characters of a software version; versions are sent between instances.
+_MAX_VERSION_CHARACTERS = 128
 #: Characters of an error's reason in a log line.
 _SHOWN_CHARACTERS = 200
 
@@ -106,6 +108,9 @@
             f'started at {member.born}, {member.slots} slots, '
             f'capacity {member.capacity}',
         )
+    version = member.version
+    if len(version) > _MAX_VERSION_CHARACTERS or not version.isprintable():
+        raise build_unusable(name, f'version {version!r}')
 
 
 def build_unusable(name: str, reason: str) -> UnusableEntry:
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -27,6 +27,8 @@
     slots: int = 0
     #: Start time in Unix milliseconds; reveals a restart under the same name.
     born: int = 0
+    #: Version of its software.
+    version: str = ''
 
 
 class _Instance(msgspec.Struct):
@@ -61,6 +63,7 @@
         region=region,
         slots=max(0, server.slots),
         born=server.born,
+        version=server.version,
     )
     check_runner(runner)
     return runner
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from anvilhall.core.members import Member
 from anvilhall.core.messages import RunnerNews
 from anvilhall.core.positions import Position
 from anvilhall.exceptions import LogUnavailable, StoreRestored
@@ -221,3 +222,23 @@
         assert fleet.states('third') == {'r2': False}
 
     run_scenario(scenario)
+
+
+# Guards against a restart at another version that the log does not show.
+def test_change_of_version_is_logged(run_scenario, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'anvilhall.feeds.runners.log_event',
+        lambda kind, **fields: lines.append(fields),
+    )
+
+    async def scenario(fleet):
+        lines.clear()
+        fleet.partitioned = {'third'}
+        for offset, version in ((10, 'v1'), (11, 'v2')):
+            runner = Member('r2', '10.0.0.2:80', 'd1', 'desk', version=version)
+            fleet.feeds['third'].apply_news(RunnerNews(offset, runner, era=1))
+
+    run_scenario(scenario)
+    assert [line['came'] for line in lines] == [['r2'], ['r2']]
+    assert [line['versions'] for line in lines] == [{'r2': 'v1'}, {'r2': 'v2'}]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -66,6 +66,10 @@
     'fractional slots': _encode(slots=1.5),
     'infinite slots': b'{"slots":1e999,' + _encode()[1:],
     'service as number': _encode(service=7),
+    'version as number': _encode(version=2),
+    'null version': _encode(version=None),
+    'version with CR LF': _encode(version='v1\r\nX: y'),
+    'version of 129 characters': _encode(version='v' * 129),
     'empty service': _encode(service=''),
     'unknown state': _encode(state='odd'),
     'null': b'null',
@@ -82,6 +86,16 @@
         decode_runner(KeyedRecord('r-1', ODD_ENTRIES[name]), 'r')
 
 
+@pytest.mark.parametrize('version', ['v1', '1.20.3+x', 'v' * 128, ''])
+def test_entry_states_the_version_of_its_runner(version):
+    record = KeyedRecord('r-1', _encode(version=version))
+    assert decode_runner(record, 'r').version == version
+
+
+def test_entry_without_version_names_a_runner_of_unknown_version():
+    assert decode_runner(KeyedRecord('r-1', _encode()), 'r').version == ''
+
+
 @pytest.mark.parametrize(
     'key', ['', ' ', 'a b', 'a\r\nX: y', 'a\0', 'ö', '\ufffd']
 )
