Write all keyed records of this system by one writer

Cause: the record of the versions of each pool's runners is to be written and read beside the quarantined prompts, with the list of instances. The writer of quarantined prompts takes any record now, the feed of the instances passes on all that it reads, and the store's client appends and reads records without keys. No behaviour changes but one: a record whose key has a slash and that is of no known kind is passed over instead of logged as an unusable instance.

--- a/src/anvilhall/feeds/instances.py
+++ b/src/anvilhall/feeds/instances.py
@@ -1,13 +1,17 @@
 """Feed of the instances: registers this one and discovers the others.
 
-The entries of quarantined prompts are in the same topic and are read with it.
-A store that was restored from an older copy may lack entries of both kinds.
-Instances then register again, and readers write the prompts again.
+The entries of quarantined prompts and of the versions of each pool's runners
+are in the same topic and are read with it. A store that was restored from an
+older copy may lack entries of any kind. Instances then register again, and the
+others are written again.
 """
 
 import asyncio
 import random
 from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import msgspec
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member
@@ -19,10 +23,18 @@
 from anvilhall.platform.registration import (
     decode_instance,
     decode_quarantine,
+    decode_versions,
     encode_instance,
+    is_instance,
     is_quarantine,
+    is_versions,
+)
+from anvilhall.platform.store import (
+    INSTANCES_TOPIC,
+    KeyedPage,
+    KeyedRecord,
+    StoreClient,
 )
-from anvilhall.platform.store import INSTANCES_TOPIC, KeyedPage, StoreClient
 
 #: Seconds from the registration to the first read of the instance list, in
 #: which instances that start at the same time register, and on the reader of a
@@ -38,12 +50,25 @@
 _FOLLOWER_INTERVAL_S = 60.0
 
 
+_Decoded = TypeVar('_Decoded')
+
+
+class StoredState(msgspec.Struct, frozen=True):
+    """State of the whole system that one read of the store has returned."""
+
+    quarantined: tuple[QuarantineEntry, ...]
+    #: Versions at which runners serve or have served, by pool.
+    versions: dict[str, tuple[str, ...]]
+    #: Whether the store may lack entries that were stored before.
+    restored: bool
+
+
 class InstancesFeed(Feed):
     """Registers this instance and discovers the others."""
 
     __slots__ = (
         '_on_change',
-        '_on_quarantine',
+        '_on_stored',
         '_own',
         '_read_era',
         '_registered_era',
@@ -60,14 +85,14 @@
         metrics: Metrics,
         rng: random.Random,
         on_change: Callable[[tuple[Member, ...]], None],
-        on_quarantine: Callable[[tuple[QuarantineEntry, ...], bool], None],
+        on_stored: Callable[[StoredState], None],
         is_reader: Callable[[], bool],
     ) -> None:
         """Start with this instance only.
 
         :param on_change: called with all instances after a change.
-        :param on_quarantine: called at each read with all quarantined prompts
-            of the store, and whether it may lack some that were stored before.
+        :param on_stored: called at each read with what the store has beside
+            the instances.
         """
         super().__init__(
             INSTANCES_TOPIC,
@@ -86,7 +111,7 @@
         self._store_era = -1
         self._store_restored = asyncio.Event()
         self._on_change = on_change
-        self._on_quarantine = on_quarantine
+        self._on_stored = on_stored
         self.members: tuple[Member, ...] = (own,)
 
     def note_era(self, era: int) -> None:
@@ -103,7 +128,7 @@
 
     async def _follow_topic(self) -> None:
         await self._register()
-        await self._discover()
+        await self.discover()
         reader = self._is_reader()
         pause_s = _SECOND_READ_S if reader else _FOLLOWER_INTERVAL_S
         while True:
@@ -111,7 +136,7 @@
             if self._is_entry_lost:
                 await asyncio.sleep(_REGISTER_AGAIN_S * self._rng.random())
                 await self._register()
-            await self._discover()
+            await self.discover()
             reader = self._is_reader()
             pause_s = _READER_INTERVAL_S if reader else _FOLLOWER_INTERVAL_S
 
@@ -139,17 +164,30 @@
         log_event('registered', era=era)
         await asyncio.sleep(_FIRST_READ_S)
 
-    async def _discover(self) -> None:
+    async def discover(self) -> None:
+        """Read the topic once.
+
+        :raises LogUnavailable: if the store does not answer.
+        """
         page = await self._store.list_newest(self._topic)
         self._record_success()
         restored = 0 <= self._read_era < page.end.era
         self._read_era = page.end.era
         self.note_era(page.end.era)
         self._apply_members(page, restored=restored)
-        self._on_quarantine(tuple(_list_quarantined(page)), restored)
+        self._on_stored(
+            StoredState(
+                tuple(_decode_all(page, is_quarantine, decode_quarantine)),
+                dict(_decode_all(page, is_versions, decode_versions)),
+                restored,
+            ),
+        )
 
     def _apply_members(self, page: KeyedPage, *, restored: bool) -> None:
-        listed = {member.name: member for member in _list_members(page)}
+        listed = {
+            member.name: member
+            for member in _decode_all(page, is_instance, decode_instance)
+        }
         known = {member.name: member for member in self.members}
         # Entries of instances stay in the store, so one that is missing was
         # lost, and one of an older copy may be outdated.
@@ -161,19 +199,15 @@
             self._on_change(members)
 
 
-def _list_members(page: KeyedPage) -> Iterator[Member]:
-    for record in page.records:
-        if record.content and not is_quarantine(record):
-            try:
-                yield decode_instance(record)
-            except UnusableEntry as error:
-                log_event('entry_unusable', reason=error.reason)
-
-
-def _list_quarantined(page: KeyedPage) -> Iterator[QuarantineEntry]:
+def _decode_all(
+    page: KeyedPage,
+    is_kind: Callable[[KeyedRecord], bool],
+    decode: Callable[[KeyedRecord], _Decoded],
+) -> Iterator[_Decoded]:
+    """Decode the entries of one kind; unusable ones are left out."""
     for record in page.records:
-        if record.content and is_quarantine(record):
+        if record.content and is_kind(record):
             try:
-                yield decode_quarantine(record)
+                yield decode(record)
             except UnusableEntry as error:
                 log_event('entry_unusable', reason=error.reason)
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -20,7 +20,6 @@
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
 from anvilhall.core.positions import Position
-from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
     RequestLimits,
@@ -28,10 +27,10 @@
     decompress_settings,
 )
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
-from anvilhall.feeds.instances import InstancesFeed
-from anvilhall.feeds.quarantine import QuarantineWriter
+from anvilhall.feeds.instances import InstancesFeed, StoredState
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
+from anvilhall.feeds.writer import RecordWriter
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.links import Links
 from anvilhall.local import LocalConfig, RelayConfig, split_address
@@ -40,6 +39,7 @@
 from anvilhall.operators import Status, build_operator_app
 from anvilhall.outbound import CurlOutbound, Outbound
 from anvilhall.platform.headers import PlatformHeaders
+from anvilhall.platform.registration import encode_quarantine
 from anvilhall.platform.store import StoreClient
 from anvilhall.relay import RelayContext, RelayServer
 from anvilhall.relayjobs import RelayServices
@@ -76,7 +76,6 @@
         '_fleet',
         '_instances_feed',
         '_operators',
-        '_quarantine_writer',
         '_relay_config',
         '_runners',
         '_runners_feed',
@@ -85,6 +84,7 @@
         '_suspects',
         '_tasks',
         '_tick_timer',
+        '_writer',
         'context',
         'metrics',
     )
@@ -148,13 +148,13 @@
             self.metrics,
             rng,
             self._apply_instances,
-            self._apply_quarantine,
+            self._apply_stored,
             self._reads_registry,
         )
-        self._quarantine_writer = QuarantineWriter(
-            store, clock, self.metrics, rng
+        self._writer = RecordWriter(store, clock, self.metrics, rng)
+        self._fleet.quarantine.on_decision = lambda entry: self._writer.put(
+            encode_quarantine(entry)
         )
-        self._fleet.quarantine.on_decision = self._quarantine_writer.put
         services = RelayServices(
             self._fleet.broker,
             outbound,
@@ -223,7 +223,7 @@
         self._tasks.spawn(self._settings_feed.run)
         self._tasks.spawn(self._runners_feed.run)
         self._tasks.spawn(self._instances_feed.run)
-        self._tasks.spawn(self._quarantine_writer.run)
+        self._tasks.spawn(self._writer.run)
         self._tasks.repeat(
             self._send_heartbeats,
             self._config.timings.heartbeat_interval_s,
@@ -320,14 +320,12 @@
         self.context.services.budgets.instances = len(instances)
         self._update_members()
 
-    def _apply_quarantine(
-        self, stored: tuple[QuarantineEntry, ...], restored: bool
-    ) -> None:
+    def _apply_stored(self, stored: StoredState) -> None:
         quarantine = self._fleet.quarantine
-        quarantine.apply_stored(stored)
-        if restored and self._reads_registry():
-            for entry in quarantine.list_unstored(stored):
-                self._quarantine_writer.put(entry)
+        quarantine.apply_stored(stored.quarantined)
+        if stored.restored and self._reads_registry():
+            for entry in quarantine.list_unstored(stored.quarantined):
+                self._writer.put(encode_quarantine(entry))
 
     def _update_members(self) -> None:
         members = (*self._instances_feed.members, *self._runners)
--- a/src/anvilhall/platform/registration.py
+++ b/src/anvilhall/platform/registration.py
@@ -1,5 +1,7 @@
 """Store entries of runners, and those that this system keeps for itself."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from anvilhall.core.members import Member
@@ -14,6 +16,8 @@
 #: Prefix of the keys of quarantined prompts, which share the topic of the
 #: instances, so that one read returns both. Names of instances have no slash.
 _QUARANTINE_PREFIX = 'quarantine/'
+#: The same of the versions of a pool's runners.
+_VERSIONS_PREFIX = 'versions/'
 
 
 class _Server(msgspec.Struct):
@@ -110,6 +114,11 @@
     return KeyedRecord(member.name, msgspec.json.encode(entry))
 
 
+def is_instance(record: KeyedRecord) -> bool:
+    """Return whether a record is the entry of an instance of this system."""
+    return '/' not in record.key
+
+
 def is_quarantine(record: KeyedRecord) -> bool:
     """Return whether a record is the entry of a quarantined prompt."""
     return record.key.startswith(_QUARANTINE_PREFIX)
@@ -130,3 +139,27 @@
     """Encode the entry of a quarantined prompt; a withdrawn one is removed."""
     content = msgspec.json.encode(entry) if entry.parts else None
     return KeyedRecord(f'{_QUARANTINE_PREFIX}{entry.key}', content)
+
+
+def is_versions(record: KeyedRecord) -> bool:
+    """Return whether a record names the versions of a pool's runners."""
+    return record.key.startswith(_VERSIONS_PREFIX)
+
+
+def decode_versions(record: KeyedRecord) -> tuple[str, tuple[str, ...]]:
+    """Decode the versions of a pool's runners.
+
+    :return: the pool and its versions.
+    :raises UnusableEntry: if the entry is malformed.
+    """
+    try:
+        versions = decode_json(record.content or b'', tuple[str, ...])
+    except MalformedData as error:
+        raise build_unusable(record.key, error.reason) from error
+    return record.key.removeprefix(_VERSIONS_PREFIX), versions
+
+
+def encode_versions(pool: str, versions: Iterable[str]) -> KeyedRecord:
+    """Encode the versions of a pool's runners."""
+    content = msgspec.json.encode(sorted(versions))
+    return KeyedRecord(f'{_VERSIONS_PREFIX}{pool}', content)
--- a/src/anvilhall/platform/store.py
+++ b/src/anvilhall/platform/store.py
@@ -23,10 +23,12 @@
 from anvilhall.logs import log_event
 from anvilhall.outbound import Call, Outbound, Reply
 
-#: Topics; the last one belongs to this system. Each has one partition.
+#: Topics; the last two belong to this system. Each has one partition.
 CONFIG_TOPIC = 'keyed.op'
 RUNNERS_TOPIC = 'keyed.servers'
 INSTANCES_TOPIC = 'keyed.instances'
+#: Journal of streams; its records have no keys.
+STREAMS_TOPIC = 'streams'
 
 #: Key of the manifest in its topic.
 CONFIG_KEY = 'config'
@@ -42,6 +44,7 @@
 #: Smallest limit on the size of a response, in KB.
 _LEAST_KB = 1
 _HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
 _HTTP_GONE = 410
 #: Number of times that the store has come back from an older copy, in which
 #: the records after the copy are missing.
@@ -70,6 +73,15 @@
     end: Position
 
 
+class RawPage(msgspec.Struct, frozen=True):
+    """Records without keys and the position at which to continue reading."""
+
+    records: tuple[bytes, ...]
+    next: Position
+    #: Whether there were no further records at the time of the read.
+    complete: bool
+
+
 class _Item(msgspec.Struct):
     key: str
     #: Content of the record in base64.
@@ -147,13 +159,36 @@
             query['wait_ms'] = int(wait_s * _MS_PER_S)
         era, reply = await self._get('log-read', query, wait_s + timeout_s)
         _check_era(topic, start, era)
-        if reply.status == _HTTP_GONE:
-            raise RecordsExpired(
-                f'offset {offset} of topic {topic} has expired'
-            )
+        _check_retained(topic, offset, reply)
         _check_status(reply)
         return _decode_records(topic, reply.body, start)
 
+    async def read_raw(self, topic: str, start: Position) -> RawPage:
+        """Return the records without keys from a position on.
+
+        A topic that does not exist yet is empty.
+
+        :param start: :data:`UNREAD` for the start of the topic in any era.
+        :raises StoreRestored: if the store is in another era.
+        :raises RecordsExpired: if the store no longer has that offset.
+        :raises LogUnavailable: if the call fails or the response is invalid.
+        """
+        offset = max(0, start.offset)
+        query = {'from': offset, 'topic': topic, 'part': _PARTITION}
+        era, reply = await self._get('log-read', query, _CALL_TIMEOUT_S)
+        if start != UNREAD:
+            _check_era(topic, start, era)
+        if reply.status == _HTTP_NOT_FOUND:
+            return RawPage((), Position(era, 0), complete=True)
+        _check_retained(topic, offset, reply)
+        _check_status(reply)
+        end, _ = _decode_offsets(reply.body)
+        records = tuple(_split_records(reply.body))
+        reached = offset + len(records)
+        # A response without records can't be continued, whatever its end is.
+        complete = reached >= end or not records
+        return RawPage(records, Position(era, reached), complete=complete)
+
     async def find_first(self, topic: str) -> Position:
         """Return the position of the oldest retained record.
 
@@ -182,6 +217,16 @@
         """
         key = record.key.encode()
         frame = bytes((len(key),)) + key + (record.content or b'')
+        return await self.append(topic, frame)
+
+    async def append(self, topic: str, frame: bytes) -> int:
+        """Append a record, which has a key only in topics of keyed records.
+
+        :return: the era of the store, which has the record until it is
+            restored.
+        :raises LogUnavailable: if nothing was written.
+        :raises AppendUncertain: if the record may have been written.
+        """
         query = urlencode({'topic': topic, 'part': _PARTITION})
         call = Call(
             url=f'http://{self._address}/log-append?{query}',
@@ -261,6 +306,11 @@
         )
 
 
+def _check_retained(topic: str, offset: int, reply: Reply) -> None:
+    if reply.status == _HTTP_GONE:
+        raise RecordsExpired(f'offset {offset} of topic {topic} has expired')
+
+
 def _check_status(reply: Reply) -> None:
     if reply.status != _HTTP_OK:
         raise LogUnavailable(f'the store answered {reply.status}')
@@ -301,24 +351,28 @@
     return end, first
 
 
-def _decode_records(topic: str, body: bytes, start: Position) -> KeyedPage:
-    _decode_offsets(body)
-    records: list[KeyedRecord] = []
+def _split_records(body: bytes) -> Iterator[bytes]:
+    """Yield the records of a response.
+
+    :raises LogUnavailable: if the response is truncated.
+    """
     index = _OFFSETS.size
-    end = start
+    count = 0
     while index < len(body):
         content_start = index + _LENGTH.size
-        if content_start > len(body):
-            raise LogUnavailable(
-                f'response truncated after {len(records)} records',
-            )
         size = int.from_bytes(body[index:content_start])
         index = content_start + size
         if index > len(body):
-            raise LogUnavailable(
-                f'response truncated after {len(records)} records',
-            )
-        frame = body[content_start:index]
+            raise LogUnavailable(f'response truncated after {count} records')
+        count += 1
+        yield body[content_start:index]
+
+
+def _decode_records(topic: str, body: bytes, start: Position) -> KeyedPage:
+    _decode_offsets(body)
+    records: list[KeyedRecord] = []
+    end = start
+    for frame in _split_records(body):
         if frame and len(frame) > frame[0]:
             records.append(_decode_frame(frame, end))
         else:
