--- a/src/anvilhall_standins/engine.py
+++ b/src/anvilhall_standins/engine.py
@@ -74,11 +74,16 @@
         'model',
         'running',
         'started',
+        'version',
     )
 
-    def __init__(self, model: EngineModel) -> None:
-        """Create an idle engine."""
+    def __init__(self, model: EngineModel, version: str = '') -> None:
+        """Create an idle engine.
+
+        :param version: software version that the events of responses name.
+        """
         self.model = model
+        self.version = version
         self.faults = Faults()
         self.leaving = False
         #: Cancellation events of the running requests, by request identifier.
@@ -220,7 +225,9 @@
         self, word: str, body: ChatRequest, count: int
     ) -> None:
         last = count == body.max_tokens - 1
-        event = encode_event(self._request_id, word, last=last)
+        event = encode_event(
+            self._request_id, word, last=last, version=self._engine.version
+        )
         if self._engine.faults.consume('half_event'):
             self.write(event[: len(event) // 2])
             await self.flush()
@@ -306,7 +313,9 @@
     return f'w{(seed + index * index) % _VOCABULARY_SIZE} '
 
 
-def encode_event(request_id: str, word: str, *, last: bool) -> bytes:
+def encode_event(
+    request_id: str, word: str, *, last: bool, version: str = ''
+) -> bytes:
     """Encode one server-sent event of a response."""
     choice = {
         'index': 0,
@@ -317,6 +326,7 @@
         'id': request_id,
         'object': 'chat.completion.chunk',
         'model': 'stand-in',
+        'system_fingerprint': version or None,
         'choices': [choice],
     }
     return b''.join((b'data: ', msgspec.json.encode(event), b'\n\n'))
--- a/src/anvilhall_standins/listserver.py
+++ b/src/anvilhall_standins/listserver.py
@@ -32,6 +32,8 @@
     pool: str = ''
     leaving: bool = False
     region: str = ''
+    #: Software version; empty: not stated.
+    version: str = ''
 
 
 class MembershipList:
--- a/src/anvilhall_standins/platform/received.py
+++ b/src/anvilhall_standins/platform/received.py
@@ -41,7 +41,12 @@
 class Traits:
     """Lasting properties of a runner."""
 
-    __slots__ = ('deadly_bodies', 'deadly_parts', 'requests_per_s')
+    __slots__ = (
+        'deadly_bodies',
+        'deadly_parts',
+        'requests_per_s',
+        'version',
+    )
 
     def __init__(self) -> None:
         """Start without limits and faults."""
@@ -51,6 +56,8 @@
         self.deadly_parts: frozenset[str] = frozenset()
         #: Content of the header that names its limit; empty: no header.
         self.requests_per_s = ''
+        #: Software version that the events of streams name; empty: none.
+        self.version = ''
 
     def is_deadly(self, request: ReceivedRequest) -> bool:
         """Return whether a request crashes the runner."""
@@ -59,6 +66,10 @@
         )
 
 
-def build_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b'id: %d\ndata: event %d\n\n' % (number, number)
+def build_event(number: int, version: str = '') -> bytes:
+    """Return one event of a stream.
+
+    :param version: software version that it names; empty: none.
+    """
+    named = f' of {version}' if version else ''
+    return b'id: %d\ndata: event %d%s\n\n' % (number, number, named.encode())
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -36,7 +36,8 @@
 ``unframed-stream-cut-N``: the same, but close after N bytes of the events.
 ``drip``: stream one event and then, byte by byte, one that never ends.
 
-A runner whose traits have ``requests_per_s`` names that limit in its answers.
+A runner whose traits have ``requests_per_s`` names that limit in its answers;
+one whose traits have ``version`` names that version in the events of streams.
 One whose traits have ``deadly_parts`` or ``deadly_bodies`` crashes when it
 begins to answer a request whose prompt or body has one of them: all connections
 are reset, and it is away for a while.
@@ -491,7 +492,7 @@
         writer.write(self._build_head(request, _STREAM_LINE, _CHUNKED))
         first = request.first_event
         for number in range(first, self.events + 1):
-            event = build_event(number)
+            event = build_event(number, self.traits.version)
             if first <= self.cut_after < number:
                 self.cut_after = 0
                 writer.write(b'%x\r\n' % len(event) + event[:6])
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -81,10 +81,10 @@
         self.log_port = self._serve('log', build_log_app(self.store))
         self.list_port = self._serve('list', build_list_app(self.listing))
 
-    def add_engine(self, name, domain='d1', model=FAST_ENGINE):
-        self.engines[name] = Engine(model)
+    def add_engine(self, name, domain='d1', model=FAST_ENGINE, version=''):
+        self.engines[name] = Engine(model, version)
         port = self._serve(name, build_engine_app(self.engines[name]))
-        self._add_member(name, port, domain, 'chat')
+        self._add_member(name, port, domain, 'chat', version)
 
     def add_single_write_engine(self, name):
         port = self._serve(name, build_single_write_app())
@@ -198,8 +198,10 @@
         self._servers[name] = server
         return port
 
-    def _add_member(self, name, port, domain, pool):
-        self.listing.put(Entry(name, f'127.0.0.1:{port}', domain, pool), 0)
+    def _add_member(self, name, port, domain, pool, version=''):
+        address = f'127.0.0.1:{port}'
+        entry = Entry(name, address, domain, pool, version=version)
+        self.listing.put(entry, 0)
 
 
 class SingleWriteHandler(RequestHandler):
--- a/tests/site.py
+++ b/tests/site.py
@@ -91,12 +91,16 @@
         encoded = msgspec.json.encode(manifest)
         await self.store.put('keyed.op', 'config', encoded)
 
-    async def add_runner(self, name, service='desk', events=0):
-        """Start a runner and register it."""
+    async def add_runner(self, name, service='desk', events=0, **fields):
+        """Start a runner and register it.
+
+        :param fields: further fields of its entry.
+        """
         runner = StandInRunner(name, events)
+        runner.traits.version = fields.get('version', '')
         await runner.start()
         self.runners[name] = runner
-        await self.register(name, service)
+        await self.register(name, service, **fields)
         return runner
 
     async def register(self, name, service='desk', state='ready', **fields):
