--- a/src/anvilhall_standins/platform/received.py
+++ b/src/anvilhall_standins/platform/received.py
@@ -41,7 +41,12 @@
 class Traits:
     """Lasting properties of a runner."""
 
-    __slots__ = ('deadly_bodies', 'deadly_parts', 'requests_per_s', 'version')
+    __slots__ = (
+        'deadly_bodies',
+        'deadly_parts',
+        'requests_per_s',
+        'version',
+    )
 
     def __init__(self) -> None:
         """Start without limits and faults."""
@@ -51,7 +56,7 @@
         self.deadly_parts: frozenset[str] = frozenset()
         #: Content of the header that names its limit; empty: no header.
         self.requests_per_s = ''
-        #: Software version, which its events then name; empty: none.
+        #: Software version that the events of streams name; empty: none.
         self.version = ''
 
     def is_deadly(self, request: ReceivedRequest) -> bool:
@@ -64,7 +69,7 @@
 def build_event(number: int, version: str = '') -> bytes:
     """Return one event of a stream.
 
-    :param version: software version of the runner, if events name it.
+    :param version: software version that it names; empty: none.
     """
-    made_by = f' of {version}' if version else ''
-    return f'id: {number}\ndata: event {number}{made_by}\n\n'.encode()
+    named = f' of {version}' if version else ''
+    return b'id: %d\ndata: event %d%s\n\n' % (number, number, named.encode())
--- a/tests/site.py
+++ b/tests/site.py
@@ -94,7 +94,7 @@
     async def add_runner(self, name, service='desk', events=0, **fields):
         """Start a runner and register it.
 
-        :param fields: further fields of its registry entry.
+        :param fields: further fields of its entry.
         """
         runner = StandInRunner(name, events)
         runner.traits.version = fields.get('version', '')
