--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -270,6 +270,13 @@
     entry: QuarantineEntry
 
 
+class StreamsBegun(_Message, frozen=True):
+    """Streams that have begun, for the instance that records them."""
+
+    #: Keys of the streams, joined, by pool and software version.
+    begun: dict[str, dict[str, bytes]]
+
+
 class SettingsAsk(_Message, frozen=True):
     """Requests a peer's settings if they are newer than an offset."""
 
@@ -327,6 +334,7 @@
     | RunnersAsk
     | RunnersOffer
     | QuarantineNews
+    | StreamsBegun
     | SettingsAsk
     | SettingsRecords
     | SettingsOffer
