Find the version at which a resumed stream began

Cause: a request that resumes a stream was taken for a new one. The ask names the version. The owner of a pool stores the versions that serve, and streams are recorded while there are several. Ruled out: a loss of instances as the only cause; one instance mixed versions.

--- a/src/anvilhall/core/routes.py
+++ b/src/anvilhall/core/routes.py
@@ -48,6 +48,16 @@
         """Whether a request that may have run may be sent again."""
         return self.idempotent and not self.streaming
 
+    @property
+    def keeps_version(self) -> bool:
+        """Whether responses may be resumed, at the version that began them."""
+        return self.streaming and self.resumable
+
+    @property
+    def open_pools(self) -> frozenset[str]:
+        """Pools that get requests of this route."""
+        return frozenset(pool for pool, share in self.pools if share > 0)
+
     def choose_pool(self, request_id: str) -> str:
         """Return the pool of a request; it depends on the identifier only.
 
@@ -69,10 +79,11 @@
 class RouteTable:
     """Routes by host and longest path prefix."""
 
-    __slots__ = ('_by_host',)
+    __slots__ = ('_by_host', 'routes')
 
     def __init__(self, routes: tuple[Route, ...]) -> None:
         """Index the routes by host and prefix."""
+        self.routes = routes
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
--- a/src/anvilhall/dialect.py
+++ b/src/anvilhall/dialect.py
@@ -21,6 +21,11 @@
     #: Prompt parts that a prefix cache may hold, in order: the identifier and
     #: the size in tokens of each.
     parts: tuple[tuple[str, int], ...]
+    #: Identifier of the last event that the caller has received of a stream
+    #: which it resumes; empty if it has received none.
+    last_event_id: str = ''
+    #: Identifier of the request that brought the first event of that stream.
+    resumes: str = ''
 
 
 class CallHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -139,6 +139,16 @@
     code = 'no_runner'
 
 
+class VersionUnknown(RequestRefused):
+    """The software version that began the stream is not known.
+
+    Its record may arrive within a second. A stream whose version can't be told
+    is not continued, as its events would be of two versions.
+    """
+
+    code = 'version_unknown'
+
+
 class NotReady(RequestRefused):
     """The instance has no settings or no membership list yet."""
 
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -171,10 +171,10 @@
         return self._stale or self.broker.busy
 
     @property
-    def reads_registry(self) -> bool:
-        """Whether this instance reads the registry for its failure domain."""
+    def registry_reader(self) -> str:
+        """Instance that reads the registry for this domain; empty: unknown."""
         readers = self._directory.list_registry_readers()
-        return self._config.instance in readers.values()
+        return readers.get(self._config.failure_domain, '')
 
     def add_handler(self, kind: type[Message], handler: Handler) -> None:
         """Register the handler for a kind of message."""
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -17,6 +17,7 @@
     RunnersRead,
     SettingsAsk,
     SettingsOffer,
+    StreamsBegun,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
 from anvilhall.core.positions import Position
@@ -26,10 +27,12 @@
     RoutingSettings,
     decompress_settings,
 )
+from anvilhall.core.streams import Begun
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
 from anvilhall.feeds.instances import InstancesFeed, StoredState
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
+from anvilhall.feeds.streams import StreamJournal
 from anvilhall.feeds.writer import RecordWriter
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.links import Links
@@ -37,9 +40,10 @@
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
+from anvilhall.origins import Origins
 from anvilhall.outbound import CurlOutbound, Outbound
 from anvilhall.platform.headers import PlatformHeaders
-from anvilhall.platform.registration import encode_quarantine
+from anvilhall.platform.registration import encode_quarantine, encode_versions
 from anvilhall.platform.store import StoreClient
 from anvilhall.relay import RelayContext, RelayServer
 from anvilhall.relayjobs import RelayServices
@@ -75,7 +79,9 @@
         '_draining',
         '_fleet',
         '_instances_feed',
+        '_journal',
         '_operators',
+        '_origins',
         '_relay_config',
         '_runners',
         '_runners_feed',
@@ -155,6 +161,20 @@
         self._fleet.quarantine.on_decision = lambda entry: self._writer.put(
             encode_quarantine(entry)
         )
+        self._journal = StreamJournal(
+            store, clock, self.metrics, rng, self._forward_streams
+        )
+        self._origins = Origins(
+            clock,
+            self.metrics,
+            self._journal,
+            self._runners_feed,
+            self._instances_feed.discover,
+            lambda pool, versions: self._writer.put(
+                encode_versions(pool, versions)
+            ),
+            lambda pool: pool in self._fleet.broker.owner.pools,
+        )
         services = RelayServices(
             self._fleet.broker,
             outbound,
@@ -166,10 +186,11 @@
                 relay_config.retry_slack,
             ),
             rng,
+            self._origins,
         )
         self.context = RelayContext(
             services,
-            self._get_settings,
+            lambda: self._settings_feed.settings,
             self._runners_feed.measure_age_s,
         )
         self._suspects: frozenset[tuple[str, str]] = frozenset()
@@ -184,6 +205,7 @@
         self._fleet.add_handler(RunnersRead, self._handle_runners_read)
         self._fleet.add_handler(RunnersAsk, self._handle_runners_ask)
         self._fleet.add_handler(RunnersOffer, self._handle_runners_offer)
+        self._fleet.add_handler(StreamsBegun, self._journal.handle_begun)
 
     @classmethod
     def from_config(
@@ -224,6 +246,7 @@
         self._tasks.spawn(self._runners_feed.run)
         self._tasks.spawn(self._instances_feed.run)
         self._tasks.spawn(self._writer.run)
+        self._tasks.spawn(self._journal.run)
         self._tasks.repeat(
             self._send_heartbeats,
             self._config.timings.heartbeat_interval_s,
@@ -297,23 +320,22 @@
             quarantined=self._fleet.broker.quarantine.list_parts(),
         )
 
-    def _get_settings(self) -> RoutingSettings | None:
-        return self._settings_feed.settings
-
     def _get_settings_position(self) -> Position:
         # The operator's versions order the settings in all eras of the store.
         return Position(0, self._settings_feed.version)
 
     def _reads_registry(self) -> bool:
-        return self._fleet.reads_registry
+        return self._fleet.registry_reader == self._config.instance
 
     def _apply_settings(self, settings: RoutingSettings) -> None:
         self._server.set_limits(settings.limits)
         self._fleet.set_tree(settings.tree)
+        self._origins.set_settings(settings)
         self._fleet.announce_settings()
 
     def _apply_runners(self, runners: tuple[Member, ...]) -> None:
         self._runners = runners
+        self._origins.set_runners(runners)
         self._update_members()
 
     def _apply_instances(self, instances: tuple[Member, ...]) -> None:
@@ -326,6 +348,7 @@
         if stored.restored and self._reads_registry():
             for entry in quarantine.list_unstored(stored.quarantined):
                 self._writer.put(encode_quarantine(entry))
+        self._origins.apply_stored(stored.versions, restored=stored.restored)
 
     def _update_members(self) -> None:
         members = (*self._instances_feed.members, *self._runners)
@@ -333,6 +356,7 @@
 
     async def _send_heartbeats(self) -> None:
         self._fleet.run_heartbeat()
+        self._origins.update()
         suspects = list_suspect_runners(self._fleet.broker.owner)
         for pool, runner in sorted(suspects - self._suspects):
             log_event('runner_suspected', pool=pool, runner=runner)
@@ -361,6 +385,13 @@
             )
         self._fleet.broadcast(message)
 
+    def _forward_streams(self, begun: Begun) -> bool:
+        """Send streams to the reader of this domain, if it is another one."""
+        reader = self._fleet.registry_reader
+        return reader in self._fleet.linked and self._try_send(
+            reader, StreamsBegun(begun)
+        )
+
     def _handle_heartbeat(self, sender: str, message: Message) -> None:
         assert isinstance(message, Heartbeat)  # noqa: S101
         self._ask_settings(sender, message.settings_covers)
@@ -405,9 +436,12 @@
         assert isinstance(message, RunnersOffer)  # noqa: S101
         self._runners_feed.apply_offer(message)
 
-    def _try_send(self, instance: str, message: Message) -> None:
+    def _try_send(self, instance: str, message: Message) -> bool:
+        """Send a message and return whether the instance has a link."""
         try:
             self._fleet.send(instance, message)
         except PeerUnreachable:
             # The next heartbeat or notification starts the exchange again.
             self.metrics.link_messages.labels('out', 'unreachable').inc()
+            return False
+        return True
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -35,6 +35,7 @@
         'refusals',
         'registry',
         'requests',
+        'resumed_streams',
         'retries',
         'settings_version',
         'failures',
@@ -74,6 +75,11 @@
             'Grants received, by where the owner stood.',
             'owner',
         )
+        self.resumed_streams = self._add_counter(
+            'resumed_streams',
+            'Streams taken up again, by how their version was known.',
+            'source',
+        )
         self.claims = self._add_counter(
             'claims', 'Claims by their result.', 'result'
         )
--- /dev/null
+++ b/src/anvilhall/origins.py
@@ -0,0 +1,345 @@
+"""Finds the software versions at which resumable streams began.
+
+A stream that a caller resumes may go on only at the version that began it. The
+sources are, in this order: the memory of this instance, the versions of the
+pool if streams can have begun at only one, and the journal in the store.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+from anvilhall.clock import Clock
+from anvilhall.core.members import Member
+from anvilhall.core.messages import Grant
+from anvilhall.core.routes import Route, RoutingSettings
+from anvilhall.core.settings import Pool
+from anvilhall.core.starts import RunnerStarts
+from anvilhall.core.streams import (
+    UNKNOWN,
+    Histories,
+    Origin,
+    StreamMemory,
+    compute_retention_s,
+    compute_stream_key,
+)
+from anvilhall.exceptions import PlatformError, VersionUnknown
+from anvilhall.feeds.runners import RunnersFeed
+from anvilhall.feeds.streams import StreamJournal
+from anvilhall.logs import log_event
+from anvilhall.metrics import Metrics
+
+#: Upper limit of the seconds for which a look-up may wait for the store.
+_LOOKUP_TIMEOUT_S = 0.7
+#: ``Retry-After`` in seconds of a stream whose record may be on its way.
+_RETRY_S = 0.5
+#: Seconds from the first read of the stored versions to the first write, in
+#: which instances that start together find the owner of a pool.
+_FIRST_WRITE_S = 1.0
+_MS_PER_S = 1000.0
+
+
+class ResumedOrigin:
+    """Where a stream began that a request resumes.
+
+    :param settings: settings of its pool.
+    :param source: how it was known.
+    """
+
+    __slots__ = ('pool', 'settings', 'source', 'version')
+
+    def __init__(self, origin: Origin, settings: Pool, source: str) -> None:
+        """Keep the pool and the version."""
+        self.pool = origin.pool
+        self.version = origin.version
+        self.settings = settings
+        self.source = source
+
+
+class Origins:
+    """Remembers and finds where streams began.
+
+    :param journal: journal of all instances.
+    :param view: feed whose runners are passed to :meth:`set_runners`.
+    :param read_stored: reads the stored versions and passes them on to
+        :meth:`apply_stored`.
+    :param store_versions: writes the versions of a pool.
+    :param owns_pool: returns whether this instance owns a pool's shard.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_histories',
+        '_journal',
+        '_memory',
+        '_metrics',
+        '_owned',
+        '_owns_pool',
+        '_pool_split_at',
+        '_read_stored',
+        '_reading',
+        '_recorded',
+        '_settings',
+        '_split_at',
+        '_starts',
+        '_store_versions',
+        '_stored',
+        '_stored_at',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        journal: StreamJournal,
+        view: RunnersFeed,
+        read_stored: Callable[[], Awaitable[None]],
+        store_versions: Callable[[str, frozenset[str]], None],
+        owns_pool: Callable[[str], bool],
+    ) -> None:
+        """Start without streams and versions."""
+        self._clock = clock
+        self._metrics = metrics
+        self._journal = journal
+        self._view = view
+        self._read_stored = read_stored
+        self._store_versions = store_versions
+        self._owns_pool = owns_pool
+        self._memory = StreamMemory()
+        self._histories = Histories()
+        self._starts = RunnerStarts()
+        self._settings: RoutingSettings | None = None
+        #: Monotonic time at which the pools of a route or their shares have
+        #: changed, by route and by pool.
+        self._split_at: dict[str, float] = {}
+        self._pool_split_at: dict[str, float] = {}
+        #: Versions of the stored records, by pool, pending writes included.
+        self._stored: dict[str, frozenset[str]] = {}
+        #: Monotonic time of the first read of these; ``None``: not read.
+        self._stored_at: float | None = None
+        #: Held while they are read on demand.
+        self._reading = asyncio.Lock()
+        #: Pools whose streams are recorded in the journal: they may have begun
+        #: at several versions, or a route's identifiers may have selected
+        #: other pools when they began.
+        self._recorded: frozenset[str] = frozenset()
+        #: Pools that this instance owned at the last update.
+        self._owned: frozenset[str] = frozenset()
+
+    def set_settings(self, settings: RoutingSettings) -> None:
+        """Apply changed settings."""
+        now = self._clock.monotonic()
+        before = {route.name: route for route in self._list_resumable()}
+        self._settings = settings
+        resumable = self._list_resumable()
+        for route in resumable:
+            known = before.get(route.name, route)
+            if known.pools != route.pools:
+                self._split_at[route.name] = now
+                for pool in known.open_pools | route.open_pools:
+                    self._pool_split_at[pool] = now
+        # Streams from before the change may still have a longer timeout.
+        retention_s = max(
+            self._histories.retention_s,
+            compute_retention_s(each.timeout_s for each in resumable),
+        )
+        self._memory.retention_s = retention_s
+        self._histories.retention_s = retention_s
+        self._journal.retention_s = retention_s
+        self.update()
+
+    def set_runners(self, runners: Iterable[Member]) -> None:
+        """Apply a change of the runners that the registry lists."""
+        runners = tuple(runners)
+        now_ms = self._clock.now().timestamp() * _MS_PER_S
+        for name, born in self._starts.update(runners, now_ms):
+            marked = self._memory.forget_runner(name, born)
+            log_event('runner_replaced', runner=name, streams=len(marked))
+            for key in marked:
+                self._record(key)
+        self._histories.set_runners(runners, self._clock.monotonic())
+        self.update()
+
+    def apply_stored(
+        self, versions: dict[str, tuple[str, ...]], *, restored: bool
+    ) -> None:
+        """Apply what one read of the stored records has returned.
+
+        :param restored: whether the store may lack records that it had.
+        """
+        now = self._clock.monotonic()
+        if self._stored_at is None:
+            self._stored_at = now
+        self._histories.apply_stored(versions, now)
+        self._stored = {
+            pool: frozenset(stored) for pool, stored in versions.items()
+        }
+        if restored:
+            # What the journal has lost is recorded again.
+            self._recorded = frozenset()
+        self.update()
+
+    def update(self) -> None:
+        """Compare versions with the records; call this from time to time."""
+        now = self._clock.monotonic()
+        self._drop_splits(now)
+        owned: set[str] = set()
+        recorded = set(self._pool_split_at)
+        for pool in self._list_pools():
+            versions = self._histories.list_versions(pool, now)
+            if len(versions) > 1:
+                recorded.add(pool)
+            if self._owns_pool(pool):
+                owned.add(pool)
+                self._update_stored(pool, versions, now)
+        self._owned = frozenset(owned)
+        added = recorded - self._recorded
+        self._recorded = frozenset(recorded)
+        for begun in added:
+            self._record_all(begun)
+
+    def note_begun(self, account: str, stream_id: str, grant: Grant) -> None:
+        """Note that the first event of a stream is relayed.
+
+        :param stream_id: identifier of the request that began the stream.
+        :param grant: permission for the runner that sent the event.
+        """
+        key = compute_stream_key(account, stream_id)
+        version = grant.version
+        if self._starts.is_replaced(grant.runner, version):
+            version = UNKNOWN
+        self._memory.note(
+            key,
+            Origin(grant.pool, version),
+            grant.runner,
+            self._clock.monotonic(),
+            self._clock.now().timestamp() * _MS_PER_S,
+        )
+        if grant.pool in self._recorded:
+            self._record(key)
+
+    async def find(
+        self, account: str, stream_id: str, route: Route, pool: str
+    ) -> ResumedOrigin:
+        """Return where a stream began that a request resumes.
+
+        :param stream_id: identifier of the request that began it; empty: the
+            caller has not named it.
+        :param pool: pool of the stream by the current settings.
+        :raises VersionUnknown: if it can't be told now.
+        """
+        try:
+            async with asyncio.timeout(_LOOKUP_TIMEOUT_S):
+                source, origin = await self._look_up(
+                    account, stream_id, route, pool
+                )
+        except (PlatformError, TimeoutError) as error:
+            raise VersionUnknown(
+                f'the store can not be asked for the stream: {error}', _RETRY_S
+            ) from error
+        if origin is None:
+            raise VersionUnknown(
+                f'no record of the stream {stream_id!r}', _RETRY_S
+            )
+        resumed = self._check_origin(origin, route, source)
+        self._metrics.resumed_streams.labels(source).inc()
+        return resumed
+
+    async def _look_up(
+        self, account: str, stream_id: str, route: Route, pool: str
+    ) -> tuple[str, Origin | None]:
+        """Return how the origin of a stream is known, and the origin."""
+        key = compute_stream_key(account, stream_id)
+        remembered = self._memory.find(key) if stream_id else None
+        if remembered and remembered.version != UNKNOWN:
+            return 'memory', remembered
+        sole = await self._find_sole_version(route, pool)
+        if sole is not None:
+            return 'sole', Origin(pool, sole)
+        if remembered:
+            return 'memory', remembered
+        recorded = await self._journal.find(key) if stream_id else None
+        return 'journal', recorded
+
+    async def _find_sole_version(self, route: Route, pool: str) -> str | None:
+        """Return the only version at which a stream can have begun."""
+        if route.name in self._split_at or self._view.measure_age_s() is None:
+            # The stream may have begun in another pool, or the runners that
+            # are known may not be all.
+            return None
+        if self._is_mixed(pool):
+            return None
+        if self._stored_at is None:
+            async with self._reading:
+                if self._stored_at is None:
+                    await self._read_stored()
+        versions = self._list_versions(pool)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def _check_origin(
+        self, origin: Origin, route: Route, source: str
+    ) -> ResumedOrigin:
+        if origin.version == UNKNOWN and self._is_mixed(origin.pool):
+            raise VersionUnknown(
+                'the stream began at a runner of unknown version', _RETRY_S
+            )
+        tree = self._settings.tree if self._settings else None
+        settings = tree.pools.get(origin.pool) if tree else None
+        if settings is None or origin.pool not in route.open_pools:
+            raise VersionUnknown(
+                f'the stream began in pool {origin.pool}, which is no pool of '
+                f'route {route.name} any more',
+                _RETRY_S,
+            )
+        return ResumedOrigin(origin, settings, source)
+
+    def _is_mixed(self, pool: str) -> bool:
+        return len(self._list_versions(pool)) > 1
+
+    def _list_versions(self, pool: str) -> frozenset[str]:
+        return self._histories.list_versions(pool, self._clock.monotonic())
+
+    def _list_pools(self) -> set[str]:
+        return {
+            pool
+            for route in self._list_resumable()
+            for pool in route.open_pools
+        }
+
+    def _update_stored(
+        self, pool: str, versions: frozenset[str], now: float
+    ) -> None:
+        """Write the versions of a pool if they differ from the record."""
+        if self._stored_at is None or now - self._stored_at < _FIRST_WRITE_S:
+            return
+        if pool not in self._owned and len(versions) > 1:
+            # The former owner may have written since the last read.
+            self._stored.pop(pool, None)
+        if versions and versions != self._stored.get(pool):
+            self._stored[pool] = versions
+            log_event('versions_stored', pool=pool, versions=sorted(versions))
+            self._store_versions(pool, versions)
+
+    def _record_all(self, pool: str) -> None:
+        for key, origin in self._memory.list_pool(pool):
+            self._journal.add(key, origin)
+
+    def _record(self, key: bytes) -> None:
+        origin = self._memory.find(key)
+        if origin:
+            self._journal.add(key, origin)
+
+    def _drop_splits(self, now: float) -> None:
+        """Forget changes of pools that are older than all open streams."""
+        earliest_at = now - self._histories.retention_s
+        for splits in (self._split_at, self._pool_split_at):
+            for name, split_at in list(splits.items()):
+                if split_at < earliest_at:
+                    splits.pop(name)
+
+    def _list_resumable(self) -> tuple[Route, ...]:
+        """Return the routes whose streams may be resumed."""
+        if self._settings is None:
+            return ()
+        routes = self._settings.table.routes
+        return tuple(route for route in routes if route.keeps_version)
--- a/src/anvilhall/platform/headers.py
+++ b/src/anvilhall/platform/headers.py
@@ -24,6 +24,8 @@
 #: Comma-separated parts of the prompt in order, each as ``ID:TOKENS``.
 _PARTS = 'Anvilhall-Prefix-Hash'
 _LAST_EVENT_ID = 'Last-Event-Id'
+#: Identifier of the request that began the stream which a caller resumes.
+_RESUMES = 'Resumes'
 _KEEP_ALIVE = 'Keep-Alive'
 _SEAL = 'Anvilhall-Server-Seal'
 #: Requests per second that a runner in need takes from all instances together.
@@ -89,6 +91,8 @@
             prompt_tokens=prompt,
             max_tokens=output,
             parts=_read_parts(headers.get(_PARTS, '')),
+            last_event_id=headers.get(_LAST_EVENT_ID, ''),
+            resumes=headers.get(_RESUMES, ''),
         )
 
     def build_call(
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -154,7 +154,7 @@
         job.tier = settings.tree.classes[route.name].tier
         if not route.public:
             self._authenticate(job, head, settings)
-        job.pool_name = route.choose_pool(head.request_id)
+        job.pool_name = route.choose_pool(job.stream_id)
         pool = settings.tree.pools.get(job.pool_name)
         if pool is None:
             raise NoRunner(
@@ -464,6 +464,7 @@
             longest_gap_s=round(relay.longest_gap_s, 3),
             prompt_tokens=job.head.prompt_tokens,
             elapsed_s=round(elapsed_s, 3),
+            **job.describe_origin(),
         )
 
 
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -44,6 +44,7 @@
         '_avoid',
         '_delivered',
         '_event_framer',
+        '_grant',
         '_job',
         '_may_have_run',
         '_services',
@@ -69,6 +70,8 @@
         self._sink = sink
         self._services = services
         self._avoid: tuple[str, ...] = ()
+        #: Grant of the last attempt.
+        self._grant: Grant | None = None
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
         self._event_framer = EventFramer()
@@ -102,6 +105,7 @@
         services.budgets.note_first_attempt(self._job.pool_name, now)
         try:
             async with asyncio.timeout(self._job.deadline_at - now):
+                await self._find_origin()
                 await self._run_attempts()
         except TimeoutError as error:
             if self.response_started:
@@ -112,6 +116,19 @@
                 raise DeadlineExceeded from error
             raise DeadlinePassed from error
 
+    async def _find_origin(self) -> None:
+        """Bind a request that resumes a stream to where the stream began.
+
+        :raises VersionUnknown: if that can't be told.
+        """
+        job = self._job
+        if job.resumes:
+            job.origin = await self._services.origins.find(
+                job.account, job.head.resumes, job.route, job.pool_name
+            )
+            job.pool_name = job.origin.pool
+            job.pool = job.origin.settings
+
     async def _run_attempts(self) -> None:
         while True:
             try:
@@ -163,6 +180,7 @@
         now = self._services.clock.monotonic()
         ask = job.build_ask(now, self._avoid)
         grant = await self._wait_for_grant(ask)
+        self._grant = grant
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
         attempt = RelayAttempt(
@@ -216,10 +234,20 @@
         if self._job.route.resumable and self._job.route.streaming:
             chunk = self._event_framer.feed(chunk)
         if chunk:
+            self._note_begun()
             self._delivered = True
             self._sink.write(chunk)
         return bool(chunk)
 
+    def _note_begun(self) -> None:
+        """Remember which version sends the stream, at its first event."""
+        job = self._job
+        if self._delivered or not job.route.keeps_version or not self._grant:
+            return
+        self._services.origins.note_begun(
+            job.account, job.stream_id, self._grant
+        )
+
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
         self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -14,6 +14,7 @@
 from anvilhall.core.shutdown import Shutdown
 from anvilhall.dialect import Dialect, RequestHead
 from anvilhall.metrics import Metrics
+from anvilhall.origins import Origins, ResumedOrigin
 from anvilhall.outbound import Outbound
 
 
@@ -41,6 +42,7 @@
         'arrived_at',
         'deadline_at',
         'head',
+        'origin',
         'pool',
         'pool_name',
         'request',
@@ -66,6 +68,20 @@
         self.route: Route
         self.pool: Pool
         self.pool_name = ''
+        #: Where the stream began that the request resumes; ``None``: the
+        #: request begins anew.
+        self.origin: ResumedOrigin | None = None
+
+    @property
+    def resumes(self) -> bool:
+        """Whether the request resumes a stream."""
+        return self.route.keeps_version and bool(self.head.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Identifier of the request that began the stream."""
+        resumed = self.resumes and self.head.resumes
+        return self.head.resumes if resumed else self.request_id
 
     @property
     def bears_cut(self) -> bool:
@@ -75,6 +91,16 @@
         """
         return self.route.idempotent or self.route.streaming
 
+    def describe_origin(self) -> dict[str, str]:
+        """Return the fields of a log line about the stream that is resumed."""
+        if not self.resumes:
+            return {}
+        fields = {'resumes': self.head.resumes}
+        if self.origin:
+            fields['origin'] = self.origin.source
+            fields['origin_version'] = self.origin.version
+        return fields
+
     def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
         """Return the message that asks the owner of the pool for a runner.
 
@@ -93,6 +119,7 @@
             avoid=avoid,
             tier=self.tier,
             digest=self._compute_digest(),
+            version=self.origin.version if self.origin else None,
         )
 
     def _compute_digest(self) -> str:
@@ -114,6 +141,7 @@
         'clock',
         'dialect',
         'metrics',
+        'origins',
         'outbound',
         'rng',
         'shutdown',
@@ -128,8 +156,10 @@
         metrics: Metrics,
         budgets: PoolRetryBudgets,
         rng: random.Random,
+        origins: Origins,
     ) -> None:
         """Keep the dependencies."""
+        self.origins = origins
         self.broker = broker
         self.outbound = outbound
         self.dialect = dialect
--- /dev/null
+++ b/tests/test_origins.py
@@ -0,0 +1,333 @@
+"""Sources of the versions of resumed streams, without sockets."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from anvilhall.clock import ManualClock
+from anvilhall.core.members import Member
+from anvilhall.core.messages import Grant
+from anvilhall.exceptions import LogUnavailable, VersionUnknown
+from anvilhall.metrics import Metrics
+from anvilhall.origins import Origins
+from anvilhall.platform.settings import decode_settings
+from tests.conftest import START
+from tests.site import ROUTES, make_manifest, make_route
+
+POOL = 'llm'
+HOST = 'desk.example'
+
+
+class FakeJournal:
+    """Journal in memory."""
+
+    def __init__(self):
+        """Start without streams."""
+        self.retention_s = 0.0
+        self.added = []
+        self.recorded = {}
+        self.searched = 0
+
+    def add(self, key, origin):
+        """Note that a stream is to be recorded."""
+        self.added.append((key, origin))
+
+    async def find(self, key):
+        """Return a stream that a test has recorded."""
+        self.searched += 1
+        return self.recorded.get(key)
+
+
+class FakeView:
+    """Feed whose view of the runners may be incomplete."""
+
+    def __init__(self):
+        """Start with a view that was read just now."""
+        self.age_s = 0.0
+
+    def measure_age_s(self):
+        """Return the age of the view."""
+        return self.age_s
+
+
+class Desk:
+    """Origins of one instance and all that they are connected to."""
+
+    def __init__(self):
+        """Start with the usual settings and without runners."""
+        self.clock = ManualClock(START)
+        self.journal = FakeJournal()
+        self.view = FakeView()
+        self.owned = {POOL}
+        self.written = []
+        #: Versions in the store; ``None``: it is away.
+        self.stored = {}
+        self.reads = 0
+        self.origins = Origins(
+            self.clock,
+            Metrics(),
+            self.journal,
+            self.view,
+            self._read_stored,
+            lambda pool, versions: self.written.append(set(versions)),
+            lambda pool: pool in self.owned,
+        )
+        self.settings = self.publish(make_manifest(1))
+
+    async def _read_stored(self):
+        self.reads += 1
+        await asyncio.sleep(0)
+        if self.stored is None:
+            raise LogUnavailable('down')
+        self.origins.apply_stored(self.stored, restored=False)
+
+    def publish(self, manifest):
+        """Put a version of the settings in force."""
+        self.settings = decode_settings(msgspec.json.encode(manifest))
+        self.origins.set_settings(self.settings)
+        return self.settings
+
+    def serve(self, *versions):
+        """Have a runner of each version listed."""
+        self.list_runners({f'r-{each}': each for each in versions})
+
+    def list_runners(self, versions, born=0):
+        """Have runners listed, given their versions by name."""
+        self.origins.set_runners(
+            [
+                Member(name, 'a:1', 'd1', POOL, version=version, born=born)
+                for name, version in versions.items()
+            ]
+        )
+
+    def begin(self, request_id, version):
+        """Relay the first event of a stream."""
+        grant = Grant(
+            POOL, request_id, f'r-{version}', 'a:1', 0, version=version
+        )
+        self.origins.note_begun('ann', request_id, grant)
+
+    def find(self, request_id, account='ann'):
+        """Return how a stream's version is known, and the version."""
+        route = self.settings.table.find(HOST, '/chat/1')
+        found = asyncio.run(self.origins.find(account, request_id, route, POOL))
+        return found.source, found.version
+
+    def wait(self, seconds):
+        """Let time pass."""
+        self.clock.advance(seconds)
+        self.origins.update()
+
+
+@pytest.fixture
+def desk():
+    """Return an instance that knows no runner yet."""
+    return Desk()
+
+
+def test_memory_comes_first(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v2')
+    assert desk.find('id-1') == ('memory', 'v2')
+    assert not desk.journal.searched
+
+
+def test_another_accounts_stream_is_unknown(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v2')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1', 'bob')
+
+
+# Guards against reads of the store by each of many take-ups.
+def test_stored_versions_are_read_once(desk):
+    desk.serve('v1')
+    assert [desk.find(name) for name in 'ab'] == [('sole', 'v1')] * 2
+    assert desk.reads == 1
+    assert not desk.journal.searched
+
+
+# Guards against the only version that is listed now, though another one was
+# listed before this instance started.
+def test_version_of_the_store_counts(desk):
+    desk.stored = {POOL: ('v0',)}
+    desk.serve('v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+
+
+def test_nothing_is_concluded_while_the_store_is_away(desk):
+    desk.stored = None
+    desk.serve('v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+
+
+# Guards against the runners that peers have announced, taken for all of them.
+def test_nothing_is_concluded_before_the_registry_was_read(desk):
+    desk.view.age_s = None
+    desk.serve('v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+
+
+def test_version_that_left_counts_for_the_retention(desk):
+    desk.serve('v1')
+    desk.serve('v2')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+    desk.wait(desk.journal.retention_s + 1)
+    assert desk.find('id-1') == ('sole', 'v2')
+
+
+def test_streams_are_recorded_only_while_there_are_several_versions(desk):
+    desk.serve('v1')
+    desk.begin('id-1', 'v1')
+    assert not desk.journal.added
+    desk.serve('v1', 'v2')
+    assert len(desk.journal.added) == 1
+    desk.begin('id-2', 'v2')
+    assert len(desk.journal.added) == 2
+    desk.serve('v2')
+    desk.begin('id-3', 'v2')
+    assert len(desk.journal.added) == 3
+    desk.wait(desk.journal.retention_s + 1)
+    desk.begin('id-4', 'v2')
+    assert len(desk.journal.added) == 3
+
+
+# Guards against records that a restored store has lost.
+def test_streams_are_recorded_again_in_a_restored_store(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v1')
+    desk.origins.apply_stored({}, restored=True)
+    assert len(desk.journal.added) == 2
+
+
+def test_journal_is_asked_last(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v1')
+    ((key, origin),) = desk.journal.added
+    other = Desk()
+    other.serve('v1', 'v2')
+    other.journal.recorded[key] = origin
+    assert other.find('id-1') == ('journal', 'v1')
+
+
+# Guards against a stream that is bound to the former version of its runner.
+def test_streams_of_a_replaced_runner_are_unknown_and_recorded_so(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v1')
+    born = int(START.timestamp() * 1000)
+    desk.list_runners({'r-v1': 'v3', 'r-v2': 'v2'}, born)
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+    assert [origin.version for _, origin in desk.journal.added] == ['v1', '']
+    # The grant is older than the new entry.
+    desk.begin('id-2', 'v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-2')
+
+
+# Guards against a stream that goes on at runners that may be of any version.
+def test_runners_without_version_count_as_one_while_none_states_one(desk):
+    desk.list_runners({'r-': '', 'r-1': ''})
+    desk.begin('id-1', '')
+    assert desk.find('id-1')[1] == ''
+    desk.serve('', 'v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+
+
+def test_stream_of_a_pool_that_left_its_route_is_refused(desk):
+    desk.serve('v1')
+    desk.begin('id-1', 'v1')
+    moved = make_route('chat', kind='streaming', service='desk', resumable=True)
+    desk.publish(make_manifest(2, (*ROUTES[:3], moved)))
+    with pytest.raises(VersionUnknown):
+        desk.find('id-1')
+
+
+# Guards against a pool that is guessed while the shares of a route change.
+def test_nothing_is_concluded_after_a_change_of_shares(desk):
+    desk.serve('v1')
+    desk.begin('id-1', 'v1')
+    shares = [
+        {'service': POOL, 'weight': 0.5},
+        {'service': 'desk', 'weight': 0.5},
+    ]
+    split = make_route(
+        'chat', kind='streaming', traffic_split=shares, resumable=True
+    )
+    desk.publish(make_manifest(2, (*ROUTES[:3], split)))
+    assert len(desk.journal.added) == 1
+    assert desk.find('id-1') == ('memory', 'v1')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-2')
+    desk.wait(desk.journal.retention_s + 1)
+    assert desk.find('id-2') == ('sole', 'v1')
+
+
+def test_owner_writes_the_versions_when_they_change(desk):
+    desk.serve('v1')
+    desk.find('id-1')
+    assert not desk.written
+    desk.wait(1.1)
+    desk.wait(30)
+    assert desk.written == [{'v1'}]
+    desk.serve('v1', 'v2')
+    assert desk.written == [{'v1'}, {'v1', 'v2'}]
+    desk.serve('v2')
+    desk.wait(desk.journal.retention_s + 1)
+    assert desk.written == [{'v1'}, {'v1', 'v2'}, {'v2'}]
+
+
+def test_only_the_owner_writes_the_versions(desk):
+    desk.owned = set()
+    desk.serve('v1', 'v2')
+    desk.origins.apply_stored({}, restored=False)
+    desk.wait(5)
+    assert not desk.written
+
+
+# Guards against a record that a former owner has written since the last read.
+def test_new_owner_writes_several_versions_again(desk):
+    desk.owned = set()
+    desk.serve('v1', 'v2')
+    desk.origins.apply_stored({POOL: ('v1', 'v2')}, restored=False)
+    desk.wait(5)
+    desk.owned = {POOL}
+    desk.wait(1)
+    desk.wait(1)
+    assert desk.written == [{'v1', 'v2'}]
+
+
+# Guards against versions that a restored store has lost.
+def test_owner_writes_again_what_the_store_has_lost(desk):
+    desk.serve('v1')
+    desk.origins.apply_stored({POOL: ('v1',)}, restored=False)
+    desk.wait(5)
+    assert not desk.written
+    desk.origins.apply_stored({}, restored=True)
+    assert desk.written == [{'v1'}]
+
+
+# Guards against state that grows while releases follow each other.
+def test_releases_leave_nothing_behind(desk):
+    chosen = random.Random(1)
+    desk.origins.apply_stored({}, restored=False)
+    for number in range(200):
+        desk.serve(f'v{number}', f'v{number + 1}')
+        for count in range(20):
+            version = f'v{number + chosen.randrange(2)}'
+            desk.begin(f'id-{number}-{count}', version)
+        desk.wait(10)
+        desk.serve(f'v{number + 1}')
+        desk.wait(10)
+    assert len(desk.origins._memory) < 200
+    assert desk.find('id-199-19')[0] == 'memory'
+    desk.wait(desk.journal.retention_s + 1)
+    assert desk.find('id-0-0') == ('sole', 'v200')
+    assert desk.written[-1] == {'v200'}
