Choose runners of the version that a request requires

Cause: an owner grants any runner of the pool, whatever version began the stream that goes on. Change: an ask that names a version is granted only runners of it. Such asks wait in queues of their own by class, tier and version, so that they and others do not block each other while the runners of one version are full; these queues share the virtual time and the floor interval of their class, take turns, and are dropped when they are empty. Their expiry holds no lower priority back, they are shed last, and pauses for them free slots at their version only. If no runner of the version takes requests, they are refused with `version_gone`, also when it leaves while they wait. An unknown version continues a stream only in a pool that states none.

An instance checks grants against its own list: the later start of a runner counts, one start with two versions is of unknown version, a start at another address is another process. A grant of another version is released, as that of a leaving runner. This holds for owners of other builds, which ignore the version, and for grants by the instance itself. An ask replaces a grant or a waiting ask of its request that is of another version, as the release of that was lost.

Conclusion: without versions in asks nothing is chosen otherwise; no ask names one yet.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -31,12 +31,14 @@
 from anvilhall.core.reads import RecentPrompts
 from anvilhall.core.runners import name_start
 from anvilhall.core.tree import Tree
+from anvilhall.core.verification import Verification
 from anvilhall.exceptions import (
     NoRunner,
     Overloaded,
     PeerUnreachable,
     RequestRefused,
     UnknownClass,
+    VersionGone,
     list_errors,
 )
 
@@ -51,7 +53,9 @@
 #: other regions.
 SPILL_AFTER_S = 0.25
 #: Codes of the refusals after which a request is sent to another region.
-_SPILL_CODES = frozenset((NoRunner.code, Overloaded.code, NOT_OWNER))
+_SPILL_CODES = frozenset(
+    (NoRunner.code, VersionGone.code, Overloaded.code, NOT_OWNER),
+)
 
 
 class GrantHandler(Protocol):
@@ -108,8 +112,9 @@
 
     def avoid(self, runner: str) -> None:
         """Add a runner to the avoid list and have the request sent again."""
-        avoid = (*self.ask.avoid, runner)
-        self.ask = msgspec.structs.replace(self.ask, avoid=avoid)
+        if runner not in self.ask.avoid:
+            avoid = (*self.ask.avoid, runner)
+            self.ask = msgspec.structs.replace(self.ask, avoid=avoid)
         self.detach()
 
 
@@ -170,6 +175,7 @@
         'on_wait',
         'owner',
         'quarantine',
+        'verification',
     )
 
     def __init__(
@@ -196,6 +202,8 @@
         self._losses = RecentLosses()
         #: Limits that runners have advertised to this instance.
         self.limits = AdvertisedLimits()
+        #: Checks the runners that grants name.
+        self.verification = Verification(directory)
         #: Prompts that are refused, whoever owns the shards.
         self.quarantine = Quarantine()
         #: Called when a new request was not answered at once.
@@ -376,10 +384,7 @@
         owner = self._directory.find_owner(pool)
         if owner is None:
             if not self._spill(pending):
-                self._refuse(
-                    pending,
-                    NoRunner(f'no live runner of pool {pool!r}'),
-                )
+                self._refuse(pending, _build_absence(pending.ask))
             return
         if owner == self._name:
             pending.target = owner
@@ -440,9 +445,11 @@
         if pending is None:
             self._report(sender, _build_release(grant))
             return
-        if self._directory.is_leaving(grant.runner):
-            # The owner does not know yet that the runner is leaving or gone.
-            # The next tick sends the request again with the runner to avoid.
+        grant = self.verification.refine(grant)
+        if not self.verification.is_usable(grant, pending.ask):
+            # The owner does not know yet that the runner is leaving or gone, or
+            # knows another version of it. The next tick sends the request again
+            # with the runner to avoid.
             self._report(sender, _build_release(grant))
             pending.avoid(grant.runner)
             self._pending[grant.request_id] = pending
@@ -557,6 +564,14 @@
     return kind(refusal.reason, refusal.retry_after_s)
 
 
+def _build_absence(ask: Ask) -> RequestRefused:
+    """Return the error of a request for which no runner is known."""
+    reason = f'no live runner of pool {ask.pool!r}'
+    if ask.version is None:
+        return NoRunner(reason)
+    return VersionGone(f'{reason}; version {ask.version!r} is required')
+
+
 def _build_release(message: Ask | Grant) -> Release:
     return Release(
         pool=message.pool,
--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -92,7 +92,10 @@
         self._clear_cache()
 
     def get_address(self, instance: str) -> str | None:
-        """Return the link address of an instance, if it is known."""
+        """Return the address of an instance's links or of a runner, if known.
+
+        :param instance: name of the instance or runner.
+        """
         member = self._members.get(instance)
         return member.address if member else None
 
--- a/src/anvilhall/core/queues.py
+++ b/src/anvilhall/core/queues.py
@@ -5,10 +5,15 @@
 within a class. Virtual times advance by the estimated tokens of each granted
 request. A class that has had no grant for its floor interval is served before
 all tiers, which prevents starvation.
+
+Requests that require a software version of the runner wait in a queue of their
+own, as runners of one version may be full while others are free. All queues of
+a class share its virtual time and its floor interval.
 """
 
 import heapq
 import itertools
+import math
 from collections.abc import Iterator
 
 from anvilhall.core.messages import Ask
@@ -77,6 +82,10 @@
 
 #: Expiry time, sequence number of arrival, and the request.
 _Entry = tuple[float, int, QueuedRequest]
+#: Class, tier and required version.
+_QueueKey = tuple[str, int, str | None]
+#: Virtual time and index of a class, and when a queue was served last.
+_UsageOrder = tuple[float, int, float]
 
 
 class _AccountQueue:
@@ -139,8 +148,30 @@
         return newest[2]
 
 
+class ClassUsage:
+    """What the queues of one class have been granted together."""
+
+    __slots__ = ('granted_at', 'index', 'length', 'virtual_time')
+
+    def __init__(self, index: int = 0) -> None:
+        """Start without grants.
+
+        :param index: order of classes that have the same virtual time.
+        """
+        self.index = index
+        #: Number of waiting requests.
+        self.length = 0
+        self.virtual_time = 0.0
+        #: Monotonic time of the last grant.
+        self.granted_at = -math.inf
+
+
 class ClassQueue:
-    """Waiting requests of one class."""
+    """Waiting requests of one class that may use the same runners.
+
+    :param version: software version that they require; ``None``: any.
+    :param usage: shared by all queues of the class.
+    """
 
     __slots__ = (
         '_virtual_now',
@@ -148,16 +179,24 @@
         'length',
         'name',
         'settings',
-        'virtual_time',
+        'usage',
+        'version',
         'waiting_since',
     )
 
-    def __init__(self, name: str, settings: ClassSettings) -> None:
+    def __init__(
+        self,
+        name: str,
+        settings: ClassSettings,
+        version: str | None = None,
+        usage: ClassUsage | None = None,
+    ) -> None:
         """Start empty."""
         self.name = name
         self.settings = settings
+        self.version = version
+        self.usage = usage or ClassUsage()
         self.length = 0
-        self.virtual_time = 0.0
         #: Monotonic time of the last grant, or of the arrival that made the
         #: queue non-empty.
         self.waiting_since = 0.0
@@ -186,7 +225,7 @@
                 account_queue.virtual_time, self._virtual_now
             )
         account_queue.push(request)
-        self.length += 1
+        self._count(1)
 
     def demote_late(self, now: float) -> None:
         """Move late requests behind the others of their account."""
@@ -202,9 +241,10 @@
         account_queue = self._choose_account_queue()
         self._virtual_now = account_queue.virtual_time
         request = account_queue.pop()
-        self.length -= 1
+        self._count(-1)
         self.waiting_since = now
-        self.virtual_time += request.cost_tokens / self.settings.weight
+        self.usage.granted_at = now
+        self.usage.virtual_time += request.cost_tokens / self.settings.weight
         if not self.length:
             # Accounts earn no credit while the queue is empty, so their
             # virtual times need not be kept.
@@ -219,7 +259,7 @@
         for account_queue in self._account_queues.values():
             request = account_queue.remove(request_id)
             if request:
-                self.length -= 1
+                self._count(-1)
                 return request
         return None
 
@@ -230,14 +270,19 @@
         whose answer was delivered in part go last.
         """
         account_queue = max(self._account_queues.values(), key=len)
-        self.length -= 1
+        self._count(-1)
         return account_queue.drop_newest()
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the class has had no grant for its floor interval."""
         if not self.length:
             return False
-        return now - self.waiting_since >= self.settings.floor_interval_s
+        since = max(self.waiting_since, self.usage.granted_at)
+        return now - since >= self.settings.floor_interval_s
+
+    def _count(self, added: int) -> None:
+        self.length += added
+        self.usage.length += added
 
     def _choose_account_queue(self) -> _AccountQueue:
         busy = (
@@ -251,12 +296,16 @@
 class PoolQueue:
     """Waiting requests of all classes of one pool."""
 
-    __slots__ = ('_classes', '_policy', '_virtual_now')
+    __slots__ = ('_classes', '_policy', '_usages', '_virtual_now')
 
     def __init__(self, policy: Policy) -> None:
         """Start empty."""
-        #: By class and tier, because an account's tier may replace its class's.
-        self._classes: dict[tuple[str, int], ClassQueue] = {}
+        #: By class, tier, because an account's tier may replace its class's,
+        #: and required version. Queues of a version are dropped when they are
+        #: empty, because versions come and go.
+        self._classes: dict[_QueueKey, ClassQueue] = {}
+        #: By class and tier.
+        self._usages: dict[tuple[str, int], ClassUsage] = {}
         self._policy = policy
         self._virtual_now = 0.0
 
@@ -275,19 +324,23 @@
         :param weight: share of its account relative to the class's others.
         :param now: monotonic seconds.
         """
-        name = request.ask.class_name
-        key = (name, request.class_settings.tier)
-        queue = self._classes.get(key)
-        if queue is None:
-            queue = ClassQueue(name, request.class_settings)
-            self._classes[key] = queue
+        queue = self._get_queue(request)
         if not self._policy.fair_accounts:
             request.queue_key = ''
         queue.settings = request.class_settings
-        if not queue.length:
-            queue.virtual_time = max(queue.virtual_time, self._virtual_now)
+        usage = queue.usage
+        if not usage.length:
+            usage.virtual_time = max(usage.virtual_time, self._virtual_now)
         queue.push(request, weight, now)
 
+    def list_versions(self) -> set[str]:
+        """Return the versions that waiting requests require."""
+        return {
+            queue.version
+            for queue in self._classes.values()
+            if queue.version is not None
+        }
+
     def list_by_priority(self, now: float) -> list[ClassQueue]:
         """Return the classes with waiting requests, highest priority first."""
         busy = [queue for queue in self._classes.values() if queue.length]
@@ -300,14 +353,17 @@
         overdue.sort(key=_get_waiting_since)
         others = [queue for queue in busy if queue not in overdue]
         others.sort(
-            key=_get_tier_order if self._policy.tiers else _get_virtual_time
+            key=_get_tier_order if self._policy.tiers else _get_usage_order
         )
         return overdue + others
 
     def pop(self, queue: ClassQueue, now: float) -> QueuedRequest:
         """Remove the next request of a class."""
-        self._virtual_now = max(self._virtual_now, queue.virtual_time)
-        return queue.pop(now)
+        usage = queue.usage
+        self._virtual_now = max(self._virtual_now, usage.virtual_time)
+        request = queue.pop(now)
+        self._drop_if_empty(queue, request)
+        return request
 
     def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove a request that was withdrawn or has expired.
@@ -317,6 +373,7 @@
         for queue in self._classes.values():
             request = queue.remove(request_id)
             if request:
+                self._drop_if_empty(queue, request)
                 return request
         return None
 
@@ -333,7 +390,9 @@
         lowest = max(busy, key=_get_class_shed_order)
         if lowest.settings.tier <= above_tier:
             return None
-        return lowest.drop_newest()
+        request = lowest.drop_newest()
+        self._drop_if_empty(lowest, request)
+        return request
 
     def find_expired(self, now: float) -> list[str]:
         """Return the identifiers of requests whose expiry time has passed."""
@@ -343,6 +402,32 @@
             if request.expires_at <= now
         ]
 
+    def _get_queue(self, request: QueuedRequest) -> ClassQueue:
+        """Return the queue of a request; create it if there is none."""
+        key = _get_key(request)
+        queue = self._classes.get(key)
+        if queue is None:
+            name, tier, version = key
+            usage = self._usages.setdefault(
+                (name, tier), ClassUsage(len(self._usages))
+            )
+            queue = ClassQueue(name, request.class_settings, version, usage)
+            self._classes[key] = queue
+        return queue
+
+    def _drop_if_empty(self, queue: ClassQueue, removed: QueuedRequest) -> None:
+        """Drop the queue of a version once it is empty.
+
+        :param removed: its last request.
+        """
+        if queue.version is not None and not queue.length:
+            self._classes.pop(_get_key(removed))
+
+
+def _get_key(request: QueuedRequest) -> _QueueKey:
+    ask = request.ask
+    return ask.class_name, request.class_settings.tier, ask.version
+
 
 def _get_entry_shed_order(entry: _Entry) -> tuple[bool, int]:
     # Requests whose answer was delivered in part are shed last.
@@ -357,14 +442,18 @@
     return queue.waiting_since
 
 
-def _get_tier_order(queue: ClassQueue) -> tuple[int, int, float]:
+def _get_tier_order(queue: ClassQueue) -> tuple[int, int, _UsageOrder]:
     settings = queue.settings
-    return settings.tier, settings.rank, queue.virtual_time
+    return settings.tier, settings.rank, _get_usage_order(queue)
 
 
-def _get_virtual_time(queue: ClassQueue) -> float:
-    return queue.virtual_time
+def _get_usage_order(queue: ClassQueue) -> _UsageOrder:
+    # Queues of one class take turns.
+    usage = queue.usage
+    return usage.virtual_time, usage.index, queue.waiting_since
 
 
-def _get_class_shed_order(queue: ClassQueue) -> tuple[int, int]:
-    return queue.settings.tier, queue.settings.rank
+def _get_class_shed_order(queue: ClassQueue) -> tuple[int, int, bool]:
+    # Requests that require a version have received a part of their answer.
+    settings = queue.settings
+    return settings.tier, settings.rank, queue.version is None
--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -11,6 +11,7 @@
 from anvilhall.core.policies import Policy
 from anvilhall.core.runners import Assignment, Runner
 from anvilhall.core.settings import Pool
+from anvilhall.core.versions import may_serve
 
 
 class RunnerEndpoint(msgspec.Struct, frozen=True):
@@ -72,9 +73,27 @@
         """Number of requests that all runners can serve at once."""
         return sum(runner.slots for runner in self.runners.values())
 
-    def has_available(self) -> bool:
-        """Return whether any runner takes new requests."""
-        return any(not runner.leaving for runner in self.runners.values())
+    def has_available(self, version: str | None = None) -> bool:
+        """Return whether any runner takes new requests.
+
+        :param version: required version of the runner; ``None``: any.
+        """
+        return any(not runner.leaving for runner in self.list_runners(version))
+
+    def list_runners(self, version: str | None) -> Iterable[Runner]:
+        """Return the runners that may serve a request.
+
+        :param version: version that it requires; ``None``: any.
+        """
+        runners = self.runners.values()
+        if version is None:
+            return runners
+        stated = any(runner.version for runner in runners)
+        return [
+            runner
+            for runner in runners
+            if may_serve(version, runner.version, stated=stated)
+        ]
 
     def set_pool(self, pool: Pool) -> None:
         """Apply changed settings of the pool."""
@@ -156,6 +175,7 @@
     ) -> Runner | None:
         """Return the eligible runner with the lowest placement cost.
 
+        Only runners of the version that the request requires are eligible.
         Runners that the request asks to avoid are chosen only if no other is
         eligible.
 
@@ -167,7 +187,7 @@
         allow_degraded = self._are_most_suspect()
         eligible = [
             runner
-            for runner in self.runners.values()
+            for runner in self.list_runners(ask.version)
             if runner.can_take(
                 assignment,
                 reserved_slots + self._count_peer_slots(runner),
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -38,6 +38,7 @@
     Overloaded,
     RequestRefused,
     UnknownClass,
+    VersionGone,
 )
 
 _MS_PER_S = 1000.0
@@ -166,7 +167,9 @@
             that a repeated request already has; empty if nothing is to be sent.
         """
         if ask.request_id in self._senders:
-            return self._answer_repeated_ask(sender, ask)
+            if not _is_replaced(ask, self._queue, self.roster):
+                return self._answer_repeated_ask(sender, ask)
+            self.release(_build_release(self._pool_name, ask.request_id), now)
         try:
             settings = self._check(ask, now)
             shed_request = self._make_room(settings)
@@ -321,14 +324,7 @@
             and self._senders.get(assignment.request_id) == sender
         ]
         for request_id in ended:
-            self.release(
-                Release(
-                    pool=self._pool_name,
-                    request_id=request_id,
-                    served=False,
-                ),
-                now,
-            )
+            self.release(_build_release(self._pool_name, request_id), now)
 
     def adopt_read(self, read: Read) -> None:
         """Mark a prompt as cached by the runner that has read it.
@@ -344,12 +340,7 @@
         """Release all requests of an instance that left or failed."""
         for request_id, instance in list(self._senders.items()):
             if instance == sender:
-                ended = Release(
-                    pool=self._pool_name,
-                    request_id=request_id,
-                    served=False,
-                )
-                self.release(ended, 0)
+                self.release(_build_release(self._pool_name, request_id), 0)
 
     def _answer_repeated_ask(self, sender: str, ask: Ask) -> list[Action]:
         """Answer a request that was sent again after its link broke.
@@ -379,7 +370,9 @@
         if settings is None:
             raise UnknownClass(f'no class named {ask.class_name!r}')
         settings = _apply_account_tier(settings, ask.tier)
-        if not self.roster.has_available():
+        if not self.roster.has_available(ask.version):
+            if ask.version is not None:
+                raise _build_version_error(self._pool_name, ask.version)
             raise NoRunner(
                 f'pool {self._pool_name!r} has no runner that accepts requests',
                 1.0,
@@ -404,14 +397,19 @@
                 self._release_ask(queued.ask)
                 error = self._build_expiry_error(queued, now)
                 priority = _get_priority(queued.class_settings)
-                self._expired_at[priority] = now
+                if queued.ask.version is None:
+                    # Runners of other versions may be free.
+                    self._expired_at[priority] = now
                 actions.append(_refuse(queued.sender, request_id, error))
-        for refused, refusal in self.screening.list_refused(self._queue, now):
-            self._queue.remove(refused.ask.request_id)
-            self._release_ask(refused.ask)
-            actions.append(
-                _refuse(refused.sender, refused.ask.request_id, refusal)
-            )
+        all_refused: list[tuple[QueuedRequest, RequestRefused]] = [
+            *self.screening.list_refused(self._queue, now),
+            *_list_version_gone(self._queue, self.roster, self._pool_name),
+        ]
+        for refused, refusal in all_refused:
+            if self.withdraw(refused.ask.request_id):
+                actions.append(
+                    _refuse(refused.sender, refused.ask.request_id, refusal)
+                )
         return actions
 
     def _grant_next(self, now: float, wall: dt.datetime) -> Action | None:
@@ -481,20 +479,14 @@
         only when a request has waited for half of its latency target (without
         a target, for its floor interval), and only one at a time.
         """
-        urgent_tiers = [
-            queue.settings.tier
+        urgent = [
+            queue
             for queue in self._queue.list_by_priority(now)
             if now - queue.peek().arrived_at >= _get_pause_delay_s(queue)
         ]
-        if not urgent_tiers or not self._policy.pause:
+        if not urgent or not self._policy.pause:
             return []
-        tier = min(urgent_tiers)
-        victims = [
-            assignment
-            for runner in self.runners.values()
-            for assignment in runner.assignments.values()
-            if assignment.tier > tier and _may_pause(assignment, self._tree)
-        ]
+        victims = _list_victims(urgent, self.roster, self._tree)
         if not victims or self.paused:
             return []
         victim = max(victims, key=_get_victim_order)
@@ -531,6 +523,66 @@
     )
 
 
+def _is_replaced(ask: Ask, queue: PoolQueue, roster: Roster) -> bool:
+    """Return whether a known request is asked for another version.
+
+    The release of its previous attempt was lost.
+    """
+    found = roster.find_assignment(ask.request_id)
+    if found:
+        return found[0] not in roster.list_runners(ask.version)
+    return any(
+        queued.ask.version != ask.version
+        for queued in queue
+        if queued.ask.request_id == ask.request_id
+    )
+
+
+def _list_version_gone(
+    queue: PoolQueue, roster: Roster, pool: str
+) -> Iterable[tuple[QueuedRequest, VersionGone]]:
+    """Yield the waiting requests whose version no runner has any more."""
+    gone = {
+        version
+        for version in queue.list_versions()
+        if not roster.has_available(version)
+    }
+    for queued in queue if gone else ():
+        version = queued.ask.version
+        if version in gone:
+            yield queued, _build_version_error(pool, version)
+
+
+def _build_version_error(pool: str, version: str | None) -> VersionGone:
+    return VersionGone(
+        f'pool {pool!r} has no runner of version {version!r} that accepts '
+        'requests'
+    )
+
+
+def _list_victims(
+    urgent: Iterable[ClassQueue], roster: Roster, tree: Tree
+) -> list[Assignment]:
+    """Return the running requests that may be paused for waiting ones.
+
+    :param urgent: queues of the waiting ones; each is served only by runners of
+        its version.
+    """
+    tiers: dict[str | None, int] = {}
+    for queue in urgent:
+        tier = queue.settings.tier
+        tiers[queue.version] = min(tiers.get(queue.version, tier), tier)
+    victims: list[Assignment] = []
+    for version, above_tier in tiers.items():
+        victims.extend(
+            assignment
+            for runner in roster.list_runners(version)
+            for assignment in runner.assignments.values()
+            if assignment.tier > above_tier and _may_pause(assignment, tree)
+        )
+    return victims
+
+
 def _may_pause(assignment: Assignment, tree: Tree) -> bool:
     settings = tree.classes.get(assignment.class_name)
     if settings is None:
@@ -591,6 +643,10 @@
     return assignment.tier, -assignment.prefill_tokens - assignment.tokens
 
 
+def _build_release(pool: str, request_id: str) -> Release:
+    return Release(pool=pool, request_id=request_id, served=False)
+
+
 def _refuse(sender: str, request_id: str, error: RequestRefused) -> Action:
     refusal = Refusal(
         request_id=request_id,
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -139,6 +139,12 @@
     code = 'no_runner'
 
 
+class VersionGone(RequestRefused):
+    """No live runner has the software version that began the stream."""
+
+    code = 'version_gone'
+
+
 class NotReady(RequestRefused):
     """The instance has no settings or no membership list yet."""
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -18,7 +18,7 @@
 from anvilhall.core.owner import NOT_OWNER, Owner
 from anvilhall.core.roster import RunnerEndpoint
 from anvilhall.core.tree import Tree
-from anvilhall.exceptions import UnknownClass, UpstreamCut
+from anvilhall.exceptions import UnknownClass, UpstreamCut, VersionGone
 
 TIMEOUTS = OwnerTimeouts(answer_timeout_s=0.06, settling_s=0.0)
 
@@ -72,10 +72,12 @@
         members = (*self.entries, *runners)
         self.directory.set_list(MemberList(members=tuple(members)))
 
-    def ask(self, name='q1'):
+    def ask(self, name='q1', version=None):
         handler = _Handler()
         parts = (('part', 1),)
-        ask = Ask('desk', name, 'lookup', 'ann', 1, 1, 10.0, parts)
+        ask = Ask(
+            'desk', name, 'lookup', 'ann', 1, 1, 10.0, parts, version=version
+        )
         self.broker.ask(ask, handler)
         return handler
 
@@ -286,3 +288,164 @@
     clock.advance(2)
     owner.handle('e2', Inventory('desk', ()))
     assert owner.get_shard('desk').running_count == 1
+
+
+def _make_runner(version='', born=0, name='r1', **fields):
+    address = fields.pop('address', 'a:1')
+    return Member(
+        name, address, 'd', 'desk', version=version, born=born, **fields
+    )
+
+
+def _grant(requester, version='', born=0):
+    grant = Grant('desk', 'q1', 'r1', 'a:1', 0, version, born)
+    requester.broker.handle_answer(requester.owner, grant)
+
+
+# Guards against a stream that goes on at another version, as the owner's list
+# of runners is older than that of this instance.
+@pytest.mark.parametrize(
+    ('granted', 'known'),
+    [
+        (('v1', 1), ('v2', 2)),
+        (('v1', 1), ('v2', 1)),
+        (('v1', 0), ('', 1)),
+        # The owner is of a build that names no version.
+        (('', 0), ('v2', 1)),
+        (('', 0), ('', 0)),
+        (('v2', 1), ('v1', 1)),
+        # It is of a build that does not choose by version.
+        (('v2', 2), ('v1', 1)),
+    ],
+)
+def test_grant_of_another_version_is_released_and_requested_again(
+    requester, granted, known
+):
+    others = [_make_runner('v1', name='r2'), _make_runner('v2', name='r3')]
+    requester.set_runners([_make_runner(*known), *others])
+    handler = requester.ask(version='v1')
+    _grant(requester, *granted)
+    assert handler.grant is None
+    assert isinstance(requester.sent[-1][1], Release)
+    for _ in range(3):
+        requester.wait(0.01)
+        (again,) = [
+            message
+            for _, message in requester.sent[-1:]
+            if isinstance(message, Ask)
+        ]
+        assert (again.version, again.avoid) == ('v1', ('r1',))
+        _grant(requester, *granted)
+    assert handler.grant is None
+
+
+@pytest.mark.parametrize(
+    ('granted', 'known'),
+    [
+        (('v1', 1), ('v1', 1)),
+        (('v1', 2), ('v2', 1)),
+        (('v1', 1), ('', 1)),
+        (('v2', 1), ('v1', 2)),
+        (('', 0), ('v1', 0)),
+        (('', 0), ('v1', 1)),
+    ],
+)
+def test_grant_of_the_version_by_the_later_start_is_used(
+    requester, granted, known
+):
+    requester.set_runners([_make_runner(*known)])
+    handler = requester.ask(version='v1')
+    _grant(requester, *granted)
+    assert handler.grant.version == 'v1'
+
+
+@pytest.mark.parametrize(
+    ('granted', 'known', 'expected'),
+    [
+        (('v1', 1), ('v2', 2), ('v2', 2)),
+        (('v2', 2), ('v1', 1), ('v2', 2)),
+        (('v1', 1), ('', 2), ('', 2)),
+        (('', 0), ('v1', 0), ('v1', 0)),
+        (('v1', 1), ('', 1), ('v1', 1)),
+        # Which of them is true is not known.
+        (('v1', 1), ('v2', 1), ('', 1)),
+    ],
+)
+def test_grant_of_a_new_request_names_the_version_of_the_later_start(
+    requester, granted, known, expected
+):
+    requester.set_runners([_make_runner(*known)])
+    handler = requester.ask()
+    _grant(requester, *granted)
+    assert (handler.grant.version, handler.grant.born) == expected
+
+
+# Guards against events of a process that are taken for those of the one that
+# has replaced it elsewhere.
+def test_grant_of_a_runner_that_has_moved_is_not_used(requester):
+    handler = requester.ask()
+    _grant(requester, 'v1', 1)
+    assert handler.grant.version == 'v1'
+    moved = _make_runner('v2', 2, address='a:2')
+    requester.set_runners([moved])
+    refined = requester.broker.verification.refine(handler.grant)
+    assert refined.version == 'v1'
+    handler = requester.ask('q2')
+    grant = Grant('desk', 'q2', 'r1', 'a:1', 0, 'v1', 1)
+    requester.broker.handle_answer(requester.owner, grant)
+    assert handler.grant is None
+
+
+def test_later_start_is_noticed_during_an_attempt(requester):
+    handler = requester.ask()
+    _grant(requester, 'v1', 1)
+    requester.set_runners([_make_runner('v2', 2)])
+    refined = requester.broker.verification.refine(handler.grant)
+    assert (refined.version, refined.born) == ('v2', 2)
+
+
+# Guards against a choice by the instance itself that mixes versions.
+def test_fallback_grants_only_runners_of_the_version(requester):
+    runners = [
+        _make_runner('v2', name=f'r{number}', address=f'a:{number}')
+        for number in range(4)
+    ]
+    same = _make_runner('v1', name='same', address='a:9')
+    requester.set_runners([*runners, same])
+    requester.broker.refresh(requester.tree)
+    handlers = [requester.ask(name, 'v1') for name in ('q1', 'q2', 'q3', 'q4')]
+    requester.wait(0.07)
+    granted = [each.grant.runner for each in handlers if each.grant]
+    assert granted
+    assert set(granted) == {'same'}
+    gone = requester.ask('q5', 'v3')
+    assert gone.error.code == VersionGone.code
+
+
+@pytest.mark.parametrize('runners', [[], [_make_runner('v1', leaving=True)]])
+def test_request_for_a_version_without_any_runner_is_refused(
+    requester, runners
+):
+    requester.set_runners(runners)
+    handler = requester.ask(version='v1')
+    assert handler.error.code == VersionGone.code
+    assert handler.error.retry_after_s is None
+
+
+def test_refusal_for_a_version_that_has_gone_reaches_the_request(requester):
+    handler = requester.ask(version='v1')
+    refusal = Refusal('q1', VersionGone.code, 'no runner of version v1')
+    requester.broker.handle_answer(requester.owner, refusal)
+    assert isinstance(handler.error, VersionGone)
+
+
+def test_request_goes_to_another_region_if_its_version_is_gone(requester):
+    far = Member('f1', 'f1:1', 'd9', region='far')
+    far_runner = _make_runner('v1', name='r9', region='far')
+    requester.set_runners([_make_runner('v2'), far, far_runner])
+    handler = requester.ask(version='v1')
+    refusal = Refusal('q1', VersionGone.code, 'no runner of version v1')
+    requester.broker.handle_answer(requester.owner, refusal)
+    assert handler.error is None
+    receiver, ask = requester.sent[-1]
+    assert (receiver, ask.version) == ('f1', 'v1')
