Keep a runner's version that a peer of an older build passes on without

Cause: views that differ are replaced by the peer's list of the same records. A peer of a build that knows no versions sends them without, so that the list of this instance lost them until its next own read. Ruled out: leaving the version out of the views' digest, because a missed change of it would go unnoticed. Change: a record at the position that is known keeps the known version. Before, test_record_passed_on_without_version_keeps_the_known_one failed. Conclusion: mended for records that this build has read before; new records that only an older build has read have no version until this build reads the registry.

--- a/src/anvilhall/core/views.py
+++ b/src/anvilhall/core/views.py
@@ -182,9 +182,14 @@
         )
 
     def _apply(self, member: Member, version: Position) -> None:
+        known = self._members.get(member.name)
+        if known and not member.version:
+            # A peer of an older build passes records on without the version.
+            same = version == self._versions.get(member.name)
+            member = _add_version(member, known) if same else member
         self._versions[member.name] = version
         self._deferred.pop(member.name, None)
-        if self._members.get(member.name) != member:
+        if known != member:
             self._members[member.name] = member
             self._digest = None
 
@@ -193,5 +198,9 @@
             self._digest = None
 
 
+def _add_version(member: Member, known: Member) -> Member:
+    return msgspec.structs.replace(member, version=known.version)
+
+
 def _get_name(member: Member) -> str:
     return member.name
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -1,5 +1,6 @@
 """View of the runners: stale records, removals and registry outages."""
 
+import msgspec
 import pytest
 
 from anvilhall.core.members import Member
@@ -62,3 +63,13 @@
     view.keep_only(set(), Position(1, 9), 1.0)
     assert view.members == ()
     assert view.get_version('r1') == Position(1, 9)
+
+
+# Guards against versions that are lost to a peer whose build knows none.
+def test_record_passed_on_without_version_keeps_the_known_one(view):
+    stated = msgspec.structs.replace(RUNNER, version='v1')
+    view.put(stated, Position(1, 6), 0)
+    view.put(RUNNER, Position(1, 6), 0)
+    assert view.members == (stated,)
+    view.put(RUNNER, Position(1, 7), 0)
+    assert view.members == (RUNNER,)
