--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -139,6 +139,12 @@
     code = 'no_runner'
 
 
+class VersionGone(RequestRefused):
+    """No live runner has the software version that began the stream."""
+
+    code = 'version_gone'
+
+
 class VersionUnknown(RequestRefused):
     """The software version that began the stream is not known.
 
