--- a/src/anvilhall/core/directory.py
+++ b/src/anvilhall/core/directory.py
@@ -92,7 +92,10 @@
         self._clear_cache()
 
     def get_address(self, instance: str) -> str | None:
-        """Return the link address of an instance, if it is known."""
+        """Return the address of an instance's links or of a runner, if known.
+
+        :param instance: name of the instance or runner.
+        """
         member = self._members.get(instance)
         return member.address if member else None
 
@@ -122,6 +125,7 @@
                 member.leaving,
                 member.slots,
                 member.born,
+                member.version,
             )
             for member in self._members.values()
             if member.pool == pool
@@ -134,6 +138,11 @@
         member = self._members.get(runner)
         return member.born if member else 0
 
+    def get_version(self, runner: str) -> str:
+        """Return the software version of a runner; empty: unknown."""
+        member = self._members.get(runner)
+        return member.version if member else ''
+
     def is_leaving(self, runner: str) -> bool:
         """Return whether a runner is leaving or unknown."""
         member = self._members.get(runner)
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -70,6 +70,8 @@
     #: Whether the request holds a grant, whose runner it is to leave. It was
     #: charged to the limits of its account and class with that one.
     moves: bool = False
+    #: Software version that the runner must have; ``None``: any.
+    version: str | None = None
 
     @property
     def part_names(self) -> tuple[str, ...]:
@@ -87,6 +89,10 @@
     #: Host and port of the runner.
     address: str
     tier: int
+    #: Software version of the runner; empty: unknown.
+    version: str = ''
+    #: Start time of the runner in Unix milliseconds; 0: unknown.
+    born: int = 0
 
 
 class Refusal(_Message, frozen=True):
@@ -285,6 +291,13 @@
     entry: QuarantineEntry
 
 
+class StreamsBegun(_Message, frozen=True):
+    """Streams that have begun, for the instance that records them."""
+
+    #: Keys of the streams, joined, by pool and software version.
+    begun: dict[str, dict[str, bytes]]
+
+
 class SettingsAsk(_Message, frozen=True):
     """Requests a peer's settings if they are newer than an offset."""
 
@@ -342,6 +355,7 @@
     | RunnersAsk
     | RunnersOffer
     | QuarantineNews
+    | StreamsBegun
     | SettingsAsk
     | SettingsRecords
     | SettingsOffer
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -17,29 +17,33 @@
     RunnersRead,
     SettingsAsk,
     SettingsOffer,
+    StreamsBegun,
 )
 from anvilhall.core.owner import list_suspect_runners, summarise_shards
 from anvilhall.core.positions import Position
-from anvilhall.core.quarantine import QuarantineEntry
 from anvilhall.core.retries import PoolRetryBudgets
 from anvilhall.core.routes import (
     RequestLimits,
     RoutingSettings,
     decompress_settings,
 )
+from anvilhall.core.streams import Begun
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
-from anvilhall.feeds.instances import InstancesFeed
-from anvilhall.feeds.quarantine import QuarantineWriter
+from anvilhall.feeds.instances import InstancesFeed, StoredState
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
+from anvilhall.feeds.streams import StreamJournal
+from anvilhall.feeds.writer import RecordWriter
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.links import Links
 from anvilhall.local import LocalConfig, RelayConfig, split_address
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
 from anvilhall.operators import Status, build_operator_app
+from anvilhall.origins import Origins
 from anvilhall.outbound import CurlOutbound, Outbound
 from anvilhall.platform.headers import PlatformHeaders
+from anvilhall.platform.registration import encode_quarantine, encode_versions
 from anvilhall.platform.store import StoreClient
 from anvilhall.relay import RelayContext, RelayServer
 from anvilhall.relayjobs import RelayServices
@@ -75,8 +79,9 @@
         '_draining',
         '_fleet',
         '_instances_feed',
+        '_journal',
         '_operators',
-        '_quarantine_writer',
+        '_origins',
         '_relay_config',
         '_runners',
         '_runners_feed',
@@ -85,6 +90,7 @@
         '_suspects',
         '_tasks',
         '_tick_timer',
+        '_writer',
         'context',
         'metrics',
     )
@@ -148,13 +154,27 @@
             self.metrics,
             rng,
             self._apply_instances,
-            self._apply_quarantine,
+            self._apply_stored,
             self._reads_registry,
         )
-        self._quarantine_writer = QuarantineWriter(
-            store, clock, self.metrics, rng
+        self._writer = RecordWriter(store, clock, self.metrics, rng)
+        self._fleet.quarantine.on_decision = lambda entry: self._writer.put(
+            encode_quarantine(entry)
+        )
+        self._journal = StreamJournal(
+            store, clock, self.metrics, rng, self._forward_streams
+        )
+        self._origins = Origins(
+            clock,
+            self.metrics,
+            self._journal,
+            self._runners_feed,
+            self._instances_feed.discover,
+            lambda pool, versions: self._writer.put(
+                encode_versions(pool, versions)
+            ),
+            lambda pool: pool in self._fleet.broker.owner.pools,
         )
-        self._fleet.quarantine.on_decision = self._quarantine_writer.put
         services = RelayServices(
             self._fleet.broker,
             outbound,
@@ -166,10 +186,11 @@
                 relay_config.retry_slack,
             ),
             rng,
+            self._origins,
         )
         self.context = RelayContext(
             services,
-            self._get_settings,
+            lambda: self._settings_feed.settings,
             self._runners_feed.measure_age_s,
         )
         self._suspects: frozenset[tuple[str, str]] = frozenset()
@@ -184,6 +205,7 @@
         self._fleet.add_handler(RunnersRead, self._handle_runners_read)
         self._fleet.add_handler(RunnersAsk, self._handle_runners_ask)
         self._fleet.add_handler(RunnersOffer, self._handle_runners_offer)
+        self._fleet.add_handler(StreamsBegun, self._journal.handle_begun)
 
     @classmethod
     def from_config(
@@ -223,7 +245,8 @@
         self._tasks.spawn(self._settings_feed.run)
         self._tasks.spawn(self._runners_feed.run)
         self._tasks.spawn(self._instances_feed.run)
-        self._tasks.spawn(self._quarantine_writer.run)
+        self._tasks.spawn(self._writer.run)
+        self._tasks.spawn(self._journal.run)
         self._tasks.repeat(
             self._send_heartbeats,
             self._config.timings.heartbeat_interval_s,
@@ -297,37 +320,35 @@
             quarantined=self._fleet.broker.quarantine.list_parts(),
         )
 
-    def _get_settings(self) -> RoutingSettings | None:
-        return self._settings_feed.settings
-
     def _get_settings_position(self) -> Position:
         # The operator's versions order the settings in all eras of the store.
         return Position(0, self._settings_feed.version)
 
     def _reads_registry(self) -> bool:
-        return self._fleet.reads_registry
+        return self._fleet.registry_reader == self._config.instance
 
     def _apply_settings(self, settings: RoutingSettings) -> None:
         self._server.set_limits(settings.limits)
         self._fleet.set_tree(settings.tree)
+        self._origins.set_settings(settings)
         self._fleet.announce_settings()
 
     def _apply_runners(self, runners: tuple[Member, ...]) -> None:
         self._runners = runners
+        self._origins.set_runners(runners)
         self._update_members()
 
     def _apply_instances(self, instances: tuple[Member, ...]) -> None:
         self.context.services.budgets.instances = len(instances)
         self._update_members()
 
-    def _apply_quarantine(
-        self, stored: tuple[QuarantineEntry, ...], restored: bool
-    ) -> None:
+    def _apply_stored(self, stored: StoredState) -> None:
         quarantine = self._fleet.quarantine
-        quarantine.apply_stored(stored)
-        if restored and self._reads_registry():
-            for entry in quarantine.list_unstored(stored):
-                self._quarantine_writer.put(entry)
+        quarantine.apply_stored(stored.quarantined)
+        if stored.restored and self._reads_registry():
+            for entry in quarantine.list_unstored(stored.quarantined):
+                self._writer.put(encode_quarantine(entry))
+        self._origins.apply_stored(stored.versions, restored=stored.restored)
 
     def _update_members(self) -> None:
         members = (*self._instances_feed.members, *self._runners)
@@ -335,6 +356,7 @@
 
     async def _send_heartbeats(self) -> None:
         self._fleet.run_heartbeat()
+        self._origins.update()
         suspects = list_suspect_runners(self._fleet.broker.owner)
         for pool, runner in sorted(suspects - self._suspects):
             log_event('runner_suspected', pool=pool, runner=runner)
@@ -363,6 +385,13 @@
             )
         self._fleet.broadcast(message)
 
+    def _forward_streams(self, begun: Begun) -> bool:
+        """Send streams to the reader of this domain, if it is another one."""
+        reader = self._fleet.registry_reader
+        return reader in self._fleet.linked and self._try_send(
+            reader, StreamsBegun(begun)
+        )
+
     def _handle_heartbeat(self, sender: str, message: Message) -> None:
         assert isinstance(message, Heartbeat)  # noqa: S101
         self._ask_settings(sender, message.settings_covers)
@@ -407,9 +436,12 @@
         assert isinstance(message, RunnersOffer)  # noqa: S101
         self._runners_feed.apply_offer(message)
 
-    def _try_send(self, instance: str, message: Message) -> None:
+    def _try_send(self, instance: str, message: Message) -> bool:
+        """Send a message and return whether the instance has a link."""
         try:
             self._fleet.send(instance, message)
         except PeerUnreachable:
             # The next heartbeat or notification starts the exchange again.
             self.metrics.link_messages.labels('out', 'unreachable').inc()
+            return False
+        return True
--- a/src/anvilhall_standins/engine.py
+++ b/src/anvilhall_standins/engine.py
@@ -81,11 +81,16 @@
         'running',
         'spans',
         'started',
+        'version',
     )
 
-    def __init__(self, model: EngineModel) -> None:
-        """Create an idle engine."""
+    def __init__(self, model: EngineModel, version: str = '') -> None:
+        """Create an idle engine.
+
+        :param version: software version that the events of responses name.
+        """
         self.model = model
+        self.version = version
         self.faults = Faults()
         self.leaving = False
         #: Duration in seconds of a pause in each stream; 0: no pause.
@@ -246,7 +251,9 @@
         self, word: str, body: ChatRequest, count: int
     ) -> None:
         last = count == body.max_tokens - 1
-        event = encode_event(self._request_id, word, last=last)
+        event = encode_event(
+            self._request_id, word, last=last, version=self._engine.version
+        )
         if self._engine.faults.consume('half_event'):
             self.write(event[: len(event) // 2])
             await self.flush()
@@ -332,7 +339,9 @@
     return f'w{(seed + index * index) % _VOCABULARY_SIZE} '
 
 
-def encode_event(request_id: str, word: str, *, last: bool) -> bytes:
+def encode_event(
+    request_id: str, word: str, *, last: bool, version: str = ''
+) -> bytes:
     """Encode one server-sent event of a response."""
     choice = {
         'index': 0,
@@ -343,6 +352,7 @@
         'id': request_id,
         'object': 'chat.completion.chunk',
         'model': 'stand-in',
+        'system_fingerprint': version or None,
         'choices': [choice],
     }
     return b''.join((b'data: ', msgspec.json.encode(event), b'\n\n'))
--- a/src/anvilhall_standins/platform/received.py
+++ b/src/anvilhall_standins/platform/received.py
@@ -29,7 +29,7 @@
     @property
     def first_event(self) -> int:
         """Number of the first event that the client has not received."""
-        return int(self.headers.get('Last-Event-Id', '0')) + 1
+        return int(self.headers.get('Last-Event-Id') or '0') + 1
 
     @property
     def parts(self) -> frozenset[str]:
@@ -47,6 +47,7 @@
         'pause_after',
         'pause_s',
         'requests_per_s',
+        'version',
     )
 
     def __init__(self) -> None:
@@ -61,6 +62,8 @@
         self.pause_after = 0
         #: Content of the header that names its limit; empty: no header.
         self.requests_per_s = ''
+        #: Software version that the events of streams name; empty: none.
+        self.version = ''
 
     def is_deadly(self, request: ReceivedRequest) -> bool:
         """Return whether a request crashes the runner."""
@@ -69,6 +72,10 @@
         )
 
 
-def build_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b'id: %d\ndata: event %d\n\n' % (number, number)
+def build_event(number: int, version: str = '') -> bytes:
+    """Return one event of a stream.
+
+    :param version: software version that it names; empty: none.
+    """
+    named = f' of {version}' if version else ''
+    return b'id: %d\ndata: event %d%s\n\n' % (number, number, named.encode())
