Judge the silence of a runner by its streams only

Cause: the relay noted every request on a runner, also plain ones, which send nothing until they are done. A runner that worked on plain requests only counted as silent after half of the stall timeout, and no stream moved to it.

Ruled out: nothing further; the test shows the runner of a plain request among the silent ones.

Change: only requests of streaming routes count.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -159,7 +159,9 @@
         :raises AnvilhallError: if the runner does not serve the request.
         """
         services = self._services
-        services.activity.begin(self.grant.runner, self._granted_at)
+        streaming = self._job.route.streaming
+        if streaming:
+            services.activity.begin(self.grant.runner, self._granted_at)
         if self.handover:
             self.handover.start()
         try:
@@ -172,7 +174,8 @@
         except AnvilhallError as error:
             self._raise_failure(self._classify_failure(error))
         finally:
-            services.activity.end(self.grant.runner)
+            if streaming:
+                services.activity.end(self.grant.runner)
         problem = self._problem or self._check_end()
         if problem:
             self._raise_failure(problem)
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import pytest
 
@@ -296,6 +297,25 @@
     asyncio.run(scenario())
 
 
+# Guards against a runner that counts as silent while it works on a request that
+# is no stream.
+def test_only_streams_tell_whether_a_runner_is_silent():
+    async def scenario():
+        async with run_site(engines=1, events=EVENTS) as site:
+            activity = site.gateways['g1'].context.services.activity
+            site.runners['desk-0'].work_s = 0.2
+            site.runners['llm-0'].work_s = 0.2
+            stream = asyncio.ensure_future(_stream(site, 1))
+            plain = asyncio.ensure_future(site.fetch('/lookup/1'))
+            await wait_until(lambda: _get_broker(site).running_count == 2)
+            assert activity.list_silent(math.inf) == {'llm-0'}
+            assert await stream == BODY
+            assert (await plain).status == 200
+            assert not activity.list_silent(math.inf)
+
+    asyncio.run(scenario())
+
+
 # Guards against more runners for one stream than its route allows.
 def test_moves_spend_the_attempts_of_the_route():
     async def scenario():
