--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -227,6 +227,10 @@
         self._path = ''
         #: Bytes written but not flushed to the socket yet.
         self._unsent = 0
+        #: Whether a write is not flushed yet, and the chunks that follow it.
+        #: The connection reports only the last of several writes as flushed.
+        self._flushing = False
+        self._next_chunks: list[bytes] = []
         #: Bytes of the response's body that were written.
         self._written = 0
         self._request_id = ''
@@ -372,6 +376,17 @@
             self._connection.close()
             self.on_connection_close()
             return
+        self._next_chunks.append(chunk)
+        if not self._flushing:
+            self._write_next()
+
+    def _write_next(self) -> None:
+        """Write the chunks that have arrived since the last write."""
+        chunk = b''.join(self._next_chunks)
+        self._next_chunks.clear()
+        if not chunk:
+            return
+        self._flushing = True
         flushed = self._connection.write(chunk)
         flushed.add_done_callback(
             functools.partial(self._handle_flushed, len(chunk)),
@@ -382,8 +397,12 @@
         size: int,
         flushed: 'asyncio.Future[None]',
     ) -> None:
-        if not flushed.cancelled() and flushed.exception() is None:
-            self._unsent -= size
+        if flushed.cancelled() or flushed.exception() is not None:
+            return
+        self._flushing = False
+        self._unsent -= size
+        if not self._answered:
+            self._write_next()
 
     async def _run(self, job: RelayJob) -> None:
         metrics = self._context.services.metrics
@@ -466,6 +485,7 @@
     def _finish(self) -> None:
         """End the response."""
         self._answered = True
+        self._write_next()
         self._connection.finish()
         stream = self._connection.stream
         if stream.writing():
--- a/tests/rawcaller.py
+++ b/tests/rawcaller.py
@@ -93,6 +93,14 @@
             await asyncio.sleep(pause_s)
         self.send_rest()
 
+    async def read_bytes(self, size):
+        """Read a number of bytes, or those before the connection ends."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await self._reader.readexactly(size)
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+
     async def read_answer(self):
         """Read one answer; it is not whole if the connection ends within."""
         answer = Answer()
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -4,11 +4,13 @@
 import socket
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from anvilhall.core.messages import Heartbeat
 from anvilhall.exceptions import UpstreamCut
 from anvilhall.relay import RelayRequest
-from tests.site import WAIT_S, count_runs, run_site, wait_until
+from tests.rawcaller import RawCaller
+from tests.site import HOST, KEY, WAIT_S, count_runs, run_site, wait_until
 
 
 def test_instance_without_a_manifest_refuses_a_request_with_a_body():
@@ -346,3 +348,31 @@
             assert gateway.context.closing
 
     asyncio.run(scenario())
+
+
+# Guards against a caller whose connection is closed although it reads: writes
+# that overlapped counted as unsent for ever.
+def test_overlapping_writes_are_counted_as_sent_once_they_are_read():
+    async def scenario():
+        async with run_site() as site:
+            site.runners['desk-0'].behaviours.append('mute')
+            lines = (
+                'POST /lookup/1 HTTP/1.1',
+                f'Host: {HOST}',
+                'Anvilhall-Request-Id: overlapping',
+                f'Anvilhall-Credential: {KEY}',
+            )
+            caller = RawCaller(lines, b'body')
+            await caller.connect(site.ports['g1'], narrow=True)
+            caller.send_head(4)
+            await wait_until(lambda: count_runs(site))
+            (request,) = site.gateways['g1'].context.open
+            request.send_head(200, HTTPHeaders())
+            head = await caller.read_bytes(1)
+            assert head == b'H'
+            for _ in range(4):
+                for _ in range(2):
+                    request.write(bytes(400_000))
+                assert len(await caller.read_bytes(800_000)) == 800_000
+
+    asyncio.run(scenario())
