Keep a connection whose request has just been read at a planned stop

Cause: when an instance closes its idle connections, it looks for unread bytes on their sockets. A head that the server had read, but had not handed to its handler yet, was neither on the socket nor an open request, so that its connection was closed without an answer.

Ruled out: requests on the socket, which are kept.

Change: a connection that is not waiting for bytes any more is kept too.

Before: test_request_that_was_just_read_is_answered failed (closed without a status). Now it passes, four runs; test_planned_stop.py passes, one run.

Conclusion: a head that has arrived only in part is still closed at a stop.

--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -317,10 +317,15 @@
             self._refuse(ShuttingDown(retry_after_s=_NOT_READY_RETRY_S))
 
     def has_unread_bytes(self) -> bool:
-        """Return whether the caller has sent bytes that were not read yet."""
+        """Return whether the caller has sent bytes that were not read yet.
+
+        A head that has arrived counts as not read until it is handled.
+        """
         stream = self._connection.stream
         if stream.closed():
             return False
+        if not stream.reading():
+            return True
         caller = stream.socket
         try:
             return bool(caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -222,3 +222,30 @@
             await stopping
 
     asyncio.run(scenario())
+
+
+# Guards against a request that was read whole, but whose handler has not run
+# yet when the instance closes its idle connections.
+def test_request_that_was_just_read_is_answered():
+    async def scenario():
+        async with run_site() as site:
+            context = site.gateways['g1'].context
+            lines = (
+                'POST /lookup/1 HTTP/1.1',
+                f'Host: {HOST}',
+                'Anvilhall-Request-Id: just-read',
+                f'Anvilhall-Credential: {KEY}',
+            )
+            caller = RawCaller(lines, b'body')
+            await caller.connect(site.ports['g1'])
+            await wait_until(lambda: len(context.idle))
+            (request,) = context.idle
+            caller.send_head(4)
+            while request._connection.stream.reading():
+                await asyncio.sleep(0)
+            assert request in context.idle
+            site.gateways['g1']._server.stop()
+            answer = await caller.read_answer()
+            assert answer.whole
+
+    asyncio.run(scenario())
