Continue streams only at the version that began them, on both interfaces

Cause: the ask for a further attempt named no version. Change: once a part of a stream has been sent, further asks of the request require the version of the runner that sent it; a stream of which nothing was sent may go on at any. If no runner of the version is left, the response ends as incomplete. A runner may have restarted between grant and answer, before this instance knew of it: the version is looked up at each delivery, when a known later start at the same address means that the runner that sends is the later one. `request_ended` names the versions of the attempts. The baselines of the replay have the check too, as relays use it; without it, two tests of tests/test_outcomes.py failed in the run of the whole suite, and they pass now.

In two tests runners end for good now instead of returning 0.3 s later, as a stream may rightly go on at a runner that returns at its version; the test of a restart under one name had a runner that went on sending after its restart was listed and now has one that fell silent, and it fails without the fix, too. Added: a restart that is listed only after the stream has begun; the tests fail if the version of the grant is used.

Conclusion: mended within one response. Not covered: a stream that a restarted runner begins before its new entry is known, and that is cut before its next event after that.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -66,6 +66,9 @@
             completed an event.
         """
 
+    def note_delivery(self, grant: Grant) -> None:
+        """Note that a part of the answer to a grant has been sent."""
+
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
 
@@ -370,6 +373,7 @@
     def _forward(self, chunk: bytes) -> None:
         if self._listener.handle_chunk(chunk):
             self._last_progress_at = self._services.clock.monotonic()
+            self._listener.note_delivery(self.grant)
 
     def _flush(self) -> None:
         if not self._forwarding:
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -1,6 +1,7 @@
 """Runs one job: grant, idempotency claim, attempts on runners, result."""
 
 import asyncio
+import functools
 import random
 from typing import Protocol
 
@@ -114,6 +115,7 @@
         '_runners',
         '_services',
         '_sink',
+        '_version',
         '_wire',
     )
 
@@ -135,6 +137,8 @@
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
         self._delivered: list[bytes] = []
+        #: Software version that these events are from; ``None``: no events.
+        self._version: str | None = None
 
     async def run(self) -> None:
         """Write the whole answer to the sink.
@@ -248,7 +252,9 @@
         delivered = (
             decode_answer(self._delivered).tokens if self._delivered else 0
         )
-        return self._job.build_ask(now, self._avoided_runners, delivered)
+        return self._job.build_ask(
+            now, self._avoided_runners, delivered, self._version
+        )
 
     async def _claim_key(self) -> None:
         needed = self._job.key and not self._job.settings.idempotent
@@ -267,7 +273,8 @@
     async def _transfer(self, attempt: '_Attempt') -> None:
         if self._wire.streams:
             answer = decode_answer(self._delivered) if self._delivered else None
-            await attempt.stream(self._wire, answer, self._forward)
+            forward = functools.partial(self._forward, attempt.grant)
+            await attempt.stream(self._wire, answer, forward)
         else:
             reply = await attempt.exchange(self._wire)
             self._sink.write_reply(reply)
@@ -279,10 +286,12 @@
             self._services.claims.settle(self._claim, ran=True)
             self._claim = None
 
-    def _forward(self, events: bytes) -> None:
+    def _forward(self, grant: Grant, events: bytes) -> None:
         if not self._delivered:
             self._observe_first_token()
         self._delivered.append(events)
+        # The runner may have restarted since the grant; this is known later.
+        self._version = self._services.broker.verification.refine(grant).version
         self._sink.write_events(events)
 
     def _observe_first_token(self) -> None:
--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -125,12 +125,14 @@
         now: float,
         avoid: tuple[str, ...] = (),
         delivered_tokens: int = 0,
+        version: str | None = None,
     ) -> Ask:
         """Return the message that requests a grant from the pool's owner.
 
         :param now: monotonic seconds.
         :param avoid: runners that failed this request.
         :param delivered_tokens: tokens that the caller already has.
+        :param version: version that the runner must have; ``None``: any.
         """
         chat = self.chat
         return Ask(
@@ -147,6 +149,7 @@
             digest=digest_request(
                 self.account, self.method, self.path, self.body
             ),
+            version=version,
         )
 
 
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -458,6 +458,7 @@
             settings_version=self._context.version,
             view_age_s=self._context.measure_view_age_s(),
             runners=relay.runners,
+            versions=relay.versions,
             sends=relay.sends,
             waits_s=relay.waits_s,
             first_event_s=round(relay.first_event_s, 3),
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -48,12 +48,14 @@
         '_may_have_run',
         '_services',
         '_sink',
+        '_version',
         'content_type',
         'first_event_s',
         'longest_gap_s',
         'response_started',
         'runners',
         'sends',
+        'versions',
         'waiting',
         'waits_s',
     )
@@ -72,6 +74,8 @@
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
         self._event_framer = EventFramer()
+        #: Software version that the events sent are from; ``None``: none sent.
+        self._version: str | None = None
         #: Whether a part of the response's body has been sent to the caller.
         self._delivered = False
         #: Whether a part of the response has been sent to the caller.
@@ -84,6 +88,8 @@
         self.longest_gap_s = 0.0
         #: Runners of all attempts, in order.
         self.runners: list[str] = []
+        #: Their software versions; empty: unknown.
+        self.versions: list[str] = []
         #: For each attempt, the seconds until a grant or a refusal.
         self.waits_s: list[float] = []
         #: Attempts in which the request may have been sent.
@@ -161,10 +167,11 @@
         job = self._job
         self.check_shutdown()
         now = self._services.clock.monotonic()
-        ask = job.build_ask(now, self._avoid)
+        ask = job.build_ask(now, self._avoid, self._version)
         grant = await self._wait_for_grant(ask)
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
+        self.versions.append(grant.version)
         attempt = RelayAttempt(
             self, job, grant, self._services, repeated=repeated
         )
@@ -220,6 +227,13 @@
             self._sink.write(chunk)
         return bool(chunk)
 
+    def note_delivery(self, grant: Grant) -> None:
+        """Bind further attempts to the version of the grant's runner.
+
+        The runner may have restarted since the grant; this is known later.
+        """
+        self._version = self._services.broker.verification.refine(grant).version
+
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
         self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -75,11 +75,17 @@
         """
         return self.route.idempotent or self.route.streaming
 
-    def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
+    def build_ask(
+        self,
+        now: float,
+        avoid: tuple[str, ...],
+        version: str | None = None,
+    ) -> Ask:
         """Return the message that asks the owner of the pool for a runner.
 
         :param now: monotonic seconds.
         :param avoid: runners that failed in previous attempts.
+        :param version: version that the runner must have; ``None``: any.
         """
         return Ask(
             pool=self.pool_name,
@@ -93,6 +99,7 @@
             avoid=avoid,
             tier=self.tier,
             digest=self._compute_digest(),
+            version=version,
         )
 
     def _compute_digest(self) -> str:
--- a/src/anvilhall/replay/baselines.py
+++ b/src/anvilhall/replay/baselines.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 from anvilhall.core.advertised import AdvertisedLimits
+from anvilhall.core.directory import Directory
 from anvilhall.core.messages import Ask, Grant, Progress, Release
+from anvilhall.core.verification import Verification
 from anvilhall.registry import Registry
 from anvilhall.replay.traces import TraceHeader
 
@@ -23,7 +25,7 @@
 class RoundRobin:
     """Chooses the runners of a pool in rotation."""
 
-    __slots__ = ('_fleet', '_lag_s', '_turn', 'limits')
+    __slots__ = ('_fleet', '_lag_s', '_turn', 'limits', 'verification')
 
     def __init__(self, fleet: 'SimFleet', header: TraceHeader) -> None:
         """Create the broker of one instance of a fleet."""
@@ -32,6 +34,8 @@
         self._turn = 0
         #: Noted as by any broker; baselines do not keep to them.
         self.limits = AdvertisedLimits()
+        #: Without runners, because those of traces have no versions.
+        self.verification = Verification(Directory('', ''))
 
     def ask(self, ask: Ask, handler: 'GrantHandler') -> None:
         """Grant the next runner of the pool."""
--- a/src/anvilhall_standins/listserver.py
+++ b/src/anvilhall_standins/listserver.py
@@ -34,6 +34,8 @@
     region: str = ''
     #: Software version; empty: not stated.
     version: str = ''
+    #: Start time in Unix milliseconds; 0: not stated.
+    born: int = 0
 
 
 class MembershipList:
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -404,7 +404,7 @@
     ) -> None:
         head = self._build_head(request, _STREAM_LINE)
         writer.write(head)
-        writer.write(build_event(1))
+        writer.write(build_event(1, self.traits.version))
         writer.write(b'data: ')
         while True:
             await writer.drain()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -84,7 +84,16 @@
     def add_engine(self, name, domain='d1', model=FAST_ENGINE, version=''):
         self.engines[name] = Engine(model, version)
         port = self._serve(name, build_engine_app(self.engines[name]))
-        self._add_member(name, port, domain, 'chat', version)
+        self._add_member(name, port, domain, 'chat', version=version)
+
+    def restart_member(self, name, version, born):
+        """List a member as restarted at its address."""
+        now = asyncio.get_running_loop().time()
+        (entry,) = [
+            each for each in self.listing.read(now) if each.name == name
+        ]
+        changes = {'version': version, 'born': born}
+        self.listing.put(msgspec.structs.replace(entry, **changes), now)
 
     def add_single_write_engine(self, name):
         port = self._serve(name, build_single_write_app())
@@ -198,9 +207,8 @@
         self._servers[name] = server
         return port
 
-    def _add_member(self, name, port, domain, pool, version=''):
-        address = f'127.0.0.1:{port}'
-        entry = Entry(name, address, domain, pool, version=version)
+    def _add_member(self, name, port, domain, pool, **fields):
+        entry = Entry(name, f'127.0.0.1:{port}', domain, pool, **fields)
         self.listing.put(entry, 0)
 
 
--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -8,12 +8,22 @@
 
 from anvilhall.exceptions import UpstreamCut
 from anvilhall.outbound import Transfer
-from tests.site import run_site, wait_until
+from tests.site import make_manifest, make_route, run_site, wait_until
 
 EVENTS = 40
 #: Pause after each event of the runner that begins, in seconds: the registry is
 #: read several times before it has sent all.
 SLOW_EVENT_S = 0.1
+#: A silent runner is left only after the registry has been read several times.
+ROUTE = make_route(
+    'chat',
+    kind='streaming',
+    service='llm',
+    resumable=True,
+    slo_ms=2500,
+    gap_aim_ms=500,
+    timeout_ms=8000,
+)
 
 
 class _Stream:
@@ -21,7 +31,10 @@
 
     def __init__(self, site):
         self.chunks = []
-        call = site.build_call('/chat/1', method='POST', body=b'q')
+        deadline = {'Anvilhall-Deadline-Ms': '8000'}
+        call = site.build_call(
+            '/chat/1', method='POST', body=b'q', headers=deadline
+        )
         self._call = asyncio.ensure_future(
             site.client.stream(call, Transfer(), self.chunks.append)
         )
@@ -56,14 +69,23 @@
 
 
 @contextlib.asynccontextmanager
-async def _begin(**fields):
-    """Run a site whose only runner has begun a stream."""
+async def _begin(behaviour='', actual=None, **fields):
+    """Run a site whose only runner has begun a stream.
+
+    :param behaviour: of the runner in that stream.
+    :param actual: version of the runner, if its entry names another one.
+    """
     async with run_site() as site:
+        gateway = site.gateways['g1']
+        await site.publish(make_manifest(2, (ROUTE,)))
         runner = await site.add_runner('llm-0', 'llm', EVENTS, **fields)
         runner.event_s = SLOW_EVENT_S
-        await wait_until(lambda: len(site.gateways['g1'].runners) == 2)
+        runner.behaviours.append(behaviour)
+        runner.traits.version = actual or runner.traits.version
+        await wait_until(lambda: len(gateway.runners) == 2)
+        await wait_until(lambda: gateway.describe().settings_version == 2)
         stream = _Stream(site)
-        await wait_until(lambda: len(stream.events) > 1)
+        await wait_until(lambda: stream.events)
         yield site, stream
 
 
@@ -74,12 +96,20 @@
     return runner
 
 
+async def _end(site, name):
+    """End a runner, as if its process was killed."""
+    runner = site.runners[name]
+    runner.crash()
+    runner.stop()
+    await site.unregister(name)
+
+
 # Guards against events of two versions in one response.
 def test_cut_stream_does_not_go_on_at_another_version():
     async def scenario():
         async with _begin(version='v1') as (site, stream):
             other = await _add(site, 'llm-1', version='v2')
-            site.runners['llm-0'].crash()
+            await _end(site, 'llm-0')
             await stream.expect_cut()
             assert not other.runs
 
@@ -90,9 +120,11 @@
     async def scenario():
         async with _begin(version='v1') as (site, stream):
             for name in ('llm-1', 'llm-2', 'llm-4'):
-                await _add(site, name, version='v2')
-            same = await _add(site, 'llm-3', version='v1')
-            site.runners['llm-0'].crash()
+                await site.add_runner(name, 'llm', EVENTS, version='v2')
+            same = await site.add_runner('llm-3', 'llm', EVENTS, version='v1')
+            gateway = site.gateways['g1']
+            await wait_until(lambda: len(gateway.runners) == 6)
+            await _end(site, 'llm-0')
             await stream.expect_whole()
             assert len(same.runs) == 1
 
@@ -103,19 +135,37 @@
 # has started again under its name.
 def test_cut_stream_does_not_go_on_at_its_runner_after_a_change_of_version():
     async def scenario():
-        async with _begin(version='v1', born=1) as (site, stream):
+        async with _begin('drip', version='v1', born=1) as (site, stream):
+            # Its machine has lost power: the connection stays open.
             runner = site.runners['llm-0']
             runner.traits.version = 'v2'
-            runner.event_s = 0
             await site.register('llm-0', 'llm', version='v2', born=2)
+            await stream.expect_cut()
+            assert len(runner.runs) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against the version of an entry that was written before the runner has
+# started again.
+def test_stream_that_a_restarted_runner_has_begun_goes_on_at_its_version():
+    async def scenario():
+        async with _begin(actual='v2', version='v1', born=1) as (site, stream):
             gateway = site.gateways['g1']
+            same = await site.add_runner('llm-1', 'llm', EVENTS, version='v2')
+            await site.add_runner('llm-2', 'llm', EVENTS, version='v1')
+            await site.register('llm-0', 'llm', version='v2', born=2)
             await wait_until(
-                lambda: 'v2' in {member.version for member in gateway.runners}
+                lambda: (
+                    sorted(each.version for each in gateway.runners)
+                    == ['', 'v1', 'v2', 'v2']
+                )
             )
-            runs = len(runner.runs)
-            runner.crash()
-            await stream.expect_cut()
-            assert len(runner.runs) == runs
+            count = len(stream.events)
+            await wait_until(lambda: len(stream.events) > count)
+            await _end(site, 'llm-0')
+            await stream.expect_whole()
+            assert len(same.runs) == 1
 
     asyncio.run(scenario())
 
@@ -131,7 +181,7 @@
     async def scenario():
         async with _begin(**begun) as (site, stream):
             other = await _add(site, 'llm-1', **others)
-            site.runners['llm-0'].crash()
+            await _end(site, 'llm-0')
             await stream.expect_cut()
             assert not other.runs
 
@@ -143,7 +193,7 @@
     async def scenario():
         async with _begin(**fields) as (site, stream):
             await _add(site, 'llm-1', **fields)
-            site.runners['llm-0'].crash()
+            await _end(site, 'llm-0')
             await stream.expect_whole()
 
     asyncio.run(scenario())
