--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -52,12 +52,14 @@
         '_moved',
         '_services',
         '_sink',
+        '_version',
         'content_type',
         'first_event_s',
         'longest_gap_s',
         'response_started',
         'runners',
         'sends',
+        'versions',
         'waiting',
         'waits_s',
     )
@@ -80,6 +82,9 @@
         #: Grant of the runner that the stream moves to, if it moves.
         self._moved: PendingGrant | None = None
         self._event_framer = EventFramer()
+        #: Software version that the events sent are from, or those of the
+        #: stream that the request resumes; ``None``: none sent.
+        self._version: str | None = None
         #: Whether a part of the response's body has been sent to the caller.
         self._delivered = False
         #: Whether a part of the response has been sent to the caller.
@@ -92,6 +97,8 @@
         self.longest_gap_s = 0.0
         #: Runners of all attempts, in order.
         self.runners: list[str] = []
+        #: Their software versions; empty: unknown.
+        self.versions: list[str] = []
         #: For each attempt, the seconds until a grant or a refusal.
         self.waits_s: list[float] = []
         #: Attempts in which the request may have been sent.
@@ -133,6 +140,7 @@
             )
             job.pool_name = job.origin.pool
             job.pool = job.origin.settings
+            self._version = job.origin.version
 
     async def _run_attempts(self) -> None:
         while True:
@@ -173,7 +181,7 @@
         :param avoid: runners to avoid besides those that failed.
         """
         now = self._services.clock.monotonic()
-        return self._job.build_ask(now, (*self._avoid, *avoid))
+        return self._job.build_ask(now, (*self._avoid, *avoid), self._version)
 
     def find_obstacle(self) -> str:
         """Return why the stream may not be moved; empty if it may."""
@@ -211,6 +219,7 @@
         self._grant = grant
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
+        self.versions.append(grant.version)
         attempt = RelayAttempt(
             self, self._job, grant, services, repeated=repeated
         )
@@ -295,6 +304,13 @@
             job.account, job.stream_id, self._grant
         )
 
+    def note_delivery(self, grant: Grant) -> None:
+        """Bind further attempts to the version of the grant's runner.
+
+        The runner may have restarted since the grant; this is known later.
+        """
+        self._version = self._services.broker.verification.refine(grant).version
+
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
         self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -107,11 +107,17 @@
             fields['origin_version'] = self.origin.version
         return fields
 
-    def build_ask(self, now: float, avoid: tuple[str, ...]) -> Ask:
+    def build_ask(
+        self,
+        now: float,
+        avoid: tuple[str, ...],
+        version: str | None = None,
+    ) -> Ask:
         """Return the message that asks the owner of the pool for a runner.
 
         :param now: monotonic seconds.
         :param avoid: runners that failed in previous attempts.
+        :param version: version that the runner must have; ``None``: any.
         """
         return Ask(
             pool=self.pool_name,
@@ -125,7 +131,7 @@
             avoid=avoid,
             tier=self.tier,
             digest=self._compute_digest(),
-            version=self.origin.version if self.origin else None,
+            version=version,
         )
 
     def _compute_digest(self) -> str:
