Record streams again that were sent to a lost instance

Cause: an instance sends the streams that begin to the reader of its failure domain. Streams that were sent within 5 s are now recorded again when the receiver changes. Run: test_feeds_streams (the new test failed before: its streams were missing), test_streams, test_origins, test_resumed_streams and test_layout passed.

--- a/src/anvilhall/core/streams.py
+++ b/src/anvilhall/core/streams.py
@@ -267,6 +267,10 @@
             collections.OrderedDict()
         )
 
+    def __contains__(self, key: object) -> bool:
+        """Return whether a stream waits."""
+        return key in self._streams
+
     def __len__(self) -> int:
         """Return the number of streams."""
         return len(self._streams)
--- a/src/anvilhall/feeds/streams.py
+++ b/src/anvilhall/feeds/streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable
 
@@ -37,6 +38,10 @@
 
 #: Seconds in which the streams of one append or message are collected.
 _COLLECT_S = 0.2
+#: Seconds for which streams are kept that were sent to another instance. If it
+#: is replaced, they are recorded again: it may have been lost with them, and a
+#: link to a lost instance stays open for some seconds.
+_SENT_S = 5.0
 _MS_PER_S = 1000.0
 
 
@@ -50,7 +55,9 @@
         '_lock',
         '_next',
         '_queue',
+        '_receiver',
         '_recorded',
+        '_sent',
         '_wakeup',
         'retention_s',
     )
@@ -61,17 +68,23 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        forward: Callable[[Begun], bool],
+        forward: Callable[[Begun], str],
     ) -> None:
         """Start with nothing to write and without having read the journal.
 
         :param forward: sends streams to the instance that appends those of
-            this failure domain; returns whether there is another one.
+            this failure domain, and returns its name; empty: this one.
         """
         super().__init__(
             STREAMS_TOPIC, store, clock, metrics, rng, has_no_reader
         )
         self._forward = forward
+        #: Instance that was sent the last streams; empty: none.
+        self._receiver = ''
+        #: Streams sent to it, each batch after the monotonic time.
+        self._sent: collections.deque[tuple[float, dict[bytes, Origin]]] = (
+            collections.deque()
+        )
         #: Age in seconds from which on records are ignored.
         self.retention_s = 0.0
         self._queue = StreamQueue()
@@ -126,7 +139,11 @@
         # A failed write leaves the streams in the queue.
         streams = self._queue.peek()
         begun = group_streams(streams)
-        if not self._forward(begun):
+        receiver = self._forward(begun)
+        self._note_receiver(receiver)
+        if receiver:
+            self._sent.append((self._clock.monotonic(), streams))
+        else:
             written_ms = self._clock.now().timestamp() * _MS_PER_S
             record = encode_record(StreamRecord(written_ms, begun))
             try:
@@ -137,6 +154,24 @@
             self._record_success()
         self._queue.discard(streams)
 
+    def _note_receiver(self, receiver: str) -> None:
+        """Have the last streams recorded again if the receiver has changed."""
+        earliest_at = self._clock.monotonic() - _SENT_S
+        while self._sent and self._sent[0][0] < earliest_at:
+            self._sent.popleft()
+        if receiver != self._receiver:
+            self._receiver = receiver
+            sent = {
+                key: origin
+                for _, streams in self._sent
+                for key, origin in streams.items()
+            }
+            self._sent.clear()
+            for key, origin in sent.items():
+                # What waits in the queue is newer.
+                if key not in self._queue:
+                    self.add(key, origin)
+
     async def _read_new(self) -> None:
         self._begun_reads += 1
         complete = False
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -385,12 +385,15 @@
             )
         self._fleet.broadcast(message)
 
-    def _forward_streams(self, begun: Begun) -> bool:
-        """Send streams to the reader of this domain, if it is another one."""
+    def _forward_streams(self, begun: Begun) -> str:
+        """Send streams to the reader of this domain, if it is another one.
+
+        :return: the reader; empty if it has no link.
+        """
         reader = self._fleet.registry_reader
-        return reader in self._fleet.linked and self._try_send(
-            reader, StreamsBegun(begun)
-        )
+        if reader not in self._fleet.linked:
+            return ''
+        return reader if self._try_send(reader, StreamsBegun(begun)) else ''
 
     def _handle_heartbeat(self, sender: str, message: Message) -> None:
         assert isinstance(message, Heartbeat)  # noqa: S101
--- a/tests/test_feeds_streams.py
+++ b/tests/test_feeds_streams.py
@@ -90,10 +90,11 @@
         """Start without a peer that appends for this instance."""
         self.store = FakeStore()
         self.forwarded = []
-        self.has_reader = False
+        self.reader = ''
+        self.clock = ManualClock(START)
         self.journal = StreamJournal(
             self.store,
-            ManualClock(START),
+            self.clock,
             Metrics(),
             random.Random(1),
             self._forward,
@@ -101,9 +102,9 @@
         self.journal.retention_s = 30
 
     def _forward(self, begun):
-        if self.has_reader:
+        if self.reader:
             self.forwarded.append(begun)
-        return self.has_reader
+        return self.reader
 
     def record(self, *keys, written_ms=NOW_MS, version='v1'):
         """Append a record of another instance."""
@@ -159,7 +160,7 @@
 
 def test_streams_are_sent_to_the_instance_that_appends(run_bench):
     async def scenario(bench):
-        bench.has_reader = True
+        bench.reader = 'i2'
         bench.journal.add(KEYS[0], V1)
         await asyncio.sleep(1)
         assert bench.forwarded == [{'llm': {'v1': KEYS[0]}}]
@@ -168,6 +169,23 @@
     run_bench(scenario)
 
 
+# Guards against streams that are lost with the instance that appends them.
+def test_streams_sent_to_a_lost_instance_are_recorded_again(run_bench):
+    async def scenario(bench):
+        bench.reader = 'i2'
+        bench.journal.add(KEYS[0], V1)
+        await asyncio.sleep(1)
+        bench.clock.advance(60)
+        bench.journal.add(KEYS[1], V1)
+        await asyncio.sleep(1)
+        bench.reader = ''
+        bench.journal.add(KEYS[2], V1)
+        await asyncio.sleep(1)
+        assert sorted(bench.store.list_keys()) == KEYS[1:3]
+
+    run_bench(scenario)
+
+
 def test_streams_of_peers_are_appended_and_known(run_bench):
     async def scenario(bench):
         bench.journal.add(KEYS[0], V1)
