--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -44,17 +44,19 @@
         '_avoid',
         '_delivered',
         '_event_framer',
-        '_grant',
         '_job',
         '_may_have_run',
+        '_noted',
         '_services',
         '_sink',
+        '_version',
         'content_type',
         'first_event_s',
         'longest_gap_s',
         'response_started',
         'runners',
         'sends',
+        'versions',
         'waiting',
         'waits_s',
     )
@@ -70,11 +72,13 @@
         self._sink = sink
         self._services = services
         self._avoid: tuple[str, ...] = ()
-        #: Grant of the last attempt.
-        self._grant: Grant | None = None
+        #: Version at which the stream is remembered; ``None``: it is not yet.
+        self._noted: str | None = None
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
         self._event_framer = EventFramer()
+        #: Software version that the events sent are from; ``None``: none sent.
+        self._version: str | None = None
         #: Whether a part of the response's body has been sent to the caller.
         self._delivered = False
         #: Whether a part of the response has been sent to the caller.
@@ -87,6 +91,8 @@
         self.longest_gap_s = 0.0
         #: Runners of all attempts, in order.
         self.runners: list[str] = []
+        #: Their software versions; empty: unknown.
+        self.versions: list[str] = []
         #: For each attempt, the seconds until a grant or a refusal.
         self.waits_s: list[float] = []
         #: Attempts in which the request may have been sent.
@@ -128,6 +134,7 @@
             )
             job.pool_name = job.origin.pool
             job.pool = job.origin.settings
+            self._version = job.origin.version
 
     async def _run_attempts(self) -> None:
         while True:
@@ -178,11 +185,11 @@
         job = self._job
         self.check_shutdown()
         now = self._services.clock.monotonic()
-        ask = job.build_ask(now, self._avoid)
+        ask = job.build_ask(now, self._avoid, self._version)
         grant = await self._wait_for_grant(ask)
-        self._grant = grant
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
+        self.versions.append(grant.version)
         attempt = RelayAttempt(
             self, job, grant, self._services, repeated=repeated
         )
@@ -234,19 +241,23 @@
         if self._job.route.resumable and self._job.route.streaming:
             chunk = self._event_framer.feed(chunk)
         if chunk:
-            self._note_begun()
             self._delivered = True
             self._sink.write(chunk)
         return bool(chunk)
 
-    def _note_begun(self) -> None:
-        """Remember which version sends the stream, at its first event."""
+    def note_delivery(self, grant: Grant) -> None:
+        """Bind further attempts to the version of the grant's runner.
+
+        The runner may have restarted since the grant; this is known later.
+        """
         job = self._job
-        if self._delivered or not job.route.keeps_version or not self._grant:
-            return
-        self._services.origins.note_begun(
-            job.account, job.stream_id, self._grant
-        )
+        refined = self._services.broker.verification.refine(grant)
+        self._version = refined.version
+        if job.route.keeps_version and self._noted != refined.version:
+            self._noted = refined.version
+            self._services.origins.note_begun(
+                job.account, job.stream_id, refined
+            )
 
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
