--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -46,10 +46,10 @@
         '_avoid',
         '_delivered',
         '_event_framer',
-        '_grant',
         '_job',
         '_may_have_run',
         '_moved',
+        '_noted',
         '_services',
         '_sink',
         '_version',
@@ -75,8 +75,8 @@
         self._sink = sink
         self._services = services
         self._avoid: tuple[str, ...] = ()
-        #: Grant of the last attempt.
-        self._grant: Grant | None = None
+        #: Version at which the stream is remembered; ``None``: it is not yet.
+        self._noted: str | None = None
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
         #: Grant of the runner that the stream moves to, if it moves.
@@ -216,7 +216,6 @@
 
     def _build_attempt(self, grant: Grant) -> RelayAttempt:
         services = self._services
-        self._grant = grant
         repeated = grant.runner in self.runners
         self.runners.append(grant.runner)
         self.versions.append(grant.version)
@@ -290,26 +289,23 @@
         if self._job.resumable:
             chunk = self._event_framer.feed(chunk)
         if chunk:
-            self._note_begun()
             self._delivered = True
             self._sink.write(chunk)
         return bool(chunk)
 
-    def _note_begun(self) -> None:
-        """Remember which version sends the stream, at its first event."""
-        job = self._job
-        if self._delivered or not job.route.keeps_version or not self._grant:
-            return
-        self._services.origins.note_begun(
-            job.account, job.stream_id, self._grant
-        )
-
     def note_delivery(self, grant: Grant) -> None:
         """Bind further attempts to the version of the grant's runner.
 
         The runner may have restarted since the grant; this is known later.
         """
-        self._version = self._services.broker.verification.refine(grant).version
+        job = self._job
+        refined = self._services.broker.verification.refine(grant)
+        self._version = refined.version
+        if job.route.keeps_version and self._noted != refined.version:
+            self._noted = refined.version
+            self._services.origins.note_begun(
+                job.account, job.stream_id, refined
+            )
 
     def note_gap(self, gap_s: float) -> None:
         """Update the longest gap between two chunks of the response."""
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -91,7 +91,7 @@
     ):
         self.engines[name] = Engine(model, version)
         port = self._serve(name, build_engine_app(self.engines[name]))
-        self._add_member(name, port, domain, pool, version)
+        self._add_member(name, port, domain, pool, version=version)
 
     def restart_member(self, name, version, born):
         """List a member as restarted at its address."""
