Leave the shared routes of the tests as they are

Cause: a test of resumed streams changed a route of the list that all tests share, so that in the same process later streams of that route were refused (no_runner).

--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -34,7 +34,6 @@
     'kind': 'streaming',
     'service': 'llm',
     'resumable': True,
-    'timeout_ms': 1000,
     'gap_aim_ms': 500,
 }
 _VERSION = re.compile(r'^data: event \d+ of (.+)$', re.MULTILINE)
@@ -482,7 +481,9 @@
 
     async def scenario():
         async with run_versions('v1') as site:
-            manifest = make_manifest(2, (make_route('chat', **CHAT),))
+            manifest = make_manifest(
+                2, (make_route('chat', **CHAT, timeout_ms=1000),)
+            )
             await site.publish(manifest)
             gateway = site.gateways['g1']
             await wait_until(lambda: gateway.describe().settings_version == 2)
@@ -514,8 +515,8 @@
                 {'service': 'llm', 'weight': 0.1},
                 {'service': 'side', 'weight': 0.9},
             ]
-            manifest = make_manifest(2)
-            manifest['routes'][3]['traffic_split'] = shares
+            split = make_route('chat', **CHAT, traffic_split=shares)
+            manifest = make_manifest(2, (split,))
             manifest['services'].append(
                 {**manifest['services'][1], 'name': 'side'}
             )
