Judge silence of a runner only by streams that have begun or stalled

Cause: a runner counted as silent once its open requests of this instance had sent nothing for half of the stall timeout, also if these were plain requests or streams that waited for their first event. Such a runner was never moved to, so that streams stayed with a dead one.

Ruled out: the asks reach the owner and a slot is free; the grant was given back as that of a silent runner.

Change: only streams count; a stream without its first event counts once it has reached its own stall limit.

Conclusion: the runner of a plain request alone takes over a stalled stream.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -159,7 +159,8 @@
         :raises AnvilhallError: if the runner does not serve the request.
         """
         services = self._services
-        services.activity.begin(self.grant.runner, self._granted_at)
+        if self._job.route.streaming:
+            services.activity.begin(self.grant.runner, self._granted_at)
         if self.handover:
             self.handover.start()
         try:
@@ -172,7 +173,10 @@
         except AnvilhallError as error:
             self._raise_failure(self._classify_failure(error))
         finally:
-            services.activity.end(self.grant.runner)
+            if self._job.route.streaming:
+                services.activity.end(
+                    self.grant.runner, begun=self.first_token_s > 0
+                )
         problem = self._problem or self._check_end()
         if problem:
             self._raise_failure(problem)
@@ -371,6 +375,7 @@
         if not self.first_token_s:
             self.first_token_s = max(now - self._granted_at, _MIN_FIRST_TOKEN_S)
             if self._job.route.streaming:
+                self._services.activity.note_begun(self.grant.runner)
                 self._report_first_token()
         if self._forwarding:
             self._forward(chunk)
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -496,7 +496,7 @@
         else:
             failure = _find_status_error(reply)
         finally:
-            activity.end(self.grant.runner)
+            activity.end(self.grant.runner, begun=self.first_token_s > 0)
             if watchdog:
                 watchdog.cancel()
         self._check_end(errors, failure, forward)
@@ -563,6 +563,7 @@
                 now - self._granted_at,
                 _MIN_FIRST_TOKEN_S,
             )
+            self._services.activity.note_begun(self.grant.runner)
             self._report(now)
         if self.handover:
             self.handover.note_progress()
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -133,7 +133,7 @@
         if self._timer:
             self._timer.cancel()
         self._withdraw()
-        if self._stalled and not self._moved:
+        if self._stalled:
             self._end_stall()
 
     def _schedule_check(self, delay_s: float) -> None:
@@ -147,7 +147,9 @@
         if left_s > 0:
             self._schedule_check(left_s)
             return
-        self._stalled = True
+        if not self._stalled:
+            self._stalled = True
+            self._activity.begin_stall(self._attempt.grant.runner)
         self._reason = self._request.find_obstacle()
         if self._reason:
             self._schedule_check(_REPEAT_S)
@@ -216,7 +218,9 @@
 
     def _end_stall(self) -> None:
         self._stalled = False
-        self._log('stream_not_moved', reason=self._reason)
+        self._activity.end_stall(self._attempt.grant.runner)
+        if not self._moved:
+            self._log('stream_not_moved', reason=self._reason)
 
     def _log(self, kind: str, **fields: object) -> None:
         attempt = self._attempt
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -212,6 +212,40 @@
     asyncio.run(scenario())
 
 
+# Guards against a sound runner that is taken for silent, as all that it serves
+# is a plain request, so that a dead runner is never left.
+def test_runner_of_a_long_plain_request_is_moved_to():
+    async def scenario():
+        async with _run_engines(1, 4) as site:
+            plain = make_route(
+                'plain',
+                service='llm',
+                kind='non_idempotent',
+                attempts=1,
+                timeout_ms=8000,
+            )
+            await site.publish(make_manifest(3, (_make_chat(3), plain)))
+            await wait_until(lambda: site.gateways['g1'].context.version == 3)
+            dead, sound = site.runners['llm-0'], site.runners['llm-1']
+            dead.traits.pause_after = 2
+            dead.traits.pause_s = DEAD_S
+            (stream,) = _start_streams(site, 1)
+            await wait_until(lambda: dead.runs)
+            sound.behaviours.append('mute')
+            headers = {'Anvilhall-Deadline-Ms': '8000'}
+            call = asyncio.ensure_future(
+                site.fetch(
+                    '/plain/1', method='POST', body=b'q', headers=headers
+                )
+            )
+            await wait_until(lambda: sound.runs)
+            async with asyncio.timeout(3):
+                assert await stream == BODY
+            call.cancel()
+
+    asyncio.run(scenario())
+
+
 @contextlib.asynccontextmanager
 async def _wait_to_move(deadline_ms=4000, **fields):
     """Run a site with streams that wait to leave their dead runners.
