Ask for no runner while none is known that could take a stalled stream

Cause: each stalled stream asked its owner five times a second, also while all runners were silent or its own was the only one. Such asks could only wait or bring a grant that was given back at once.

Change: nothing is asked while every listed runner of the version is leaving, silent or the held one, and no other region has runners. Asks are repeated after 0.2, 0.4 and then 0.8 s, each varied by a fifth.

Tests: test_no_runner_is_asked_for_while_none_is_known and test_asks_are_repeated_after_growing_delays failed before and pass now.

Conclusion: no ask is sent that can't bring a usable grant by what the instance knows. The load on an owner was not measured.

--- a/src/anvilhall/core/verification.py
+++ b/src/anvilhall/core/verification.py
@@ -59,3 +59,17 @@
             endpoint.version for endpoint in directory.list_runners(grant.pool)
         )
         return may_serve(ask.version, grant.version, stated=stated)
+
+    def may_be_granted(self, ask: Ask) -> bool:
+        """Return whether a runner is known that an ask does not avoid.
+
+        The runners of other regions are not known one by one.
+        """
+        runners = self._directory.list_runners(ask.pool)
+        stated = any(runner.version for runner in runners)
+        return any(
+            not runner.leaving
+            and runner.name not in ask.avoid
+            and may_serve(ask.version, runner.version, stated=stated)
+            for runner in runners
+        ) or bool(self._directory.list_foreign_owners(ask.pool))
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from typing import Protocol
 
 import msgspec
@@ -18,8 +19,12 @@
 from anvilhall.logs import log_event
 
 #: Seconds until a runner is asked for again, if none was granted or the granted
-#: one is no better.
+#: one is no better: at first and at most. They double with each ask.
 _REPEAT_S = 0.2
+_REPEAT_MAX_S = 0.8
+#: Share by which these seconds vary, so that the asks of streams which stall
+#: together spread.
+_JITTER = 0.2
 #: Share of the stall timeout for which a runner's streams must all have been
 #: silent for it to be no better: runners may fall silent one after another.
 _SILENT_SHARE = 0.5
@@ -77,6 +82,7 @@
         '_moved',
         '_pending',
         '_reason',
+        '_repeat_s',
         '_request',
         '_stalled',
         '_timer',
@@ -102,6 +108,7 @@
         self._ask: Ask
         self._ask_count = 0
         self._stalled = False
+        self._repeat_s = _REPEAT_S
         self._moved = False
         #: Why the stalled stream has not been moved yet.
         self._reason = ''
@@ -149,23 +156,33 @@
             return
         if not self._stalled:
             self._stalled = True
+            self._repeat_s = _REPEAT_S
             self._activity.begin_stall(self._attempt.grant.runner)
         self._reason = self._request.find_obstacle()
         if self._reason:
-            self._schedule_check(_REPEAT_S)
+            self._schedule_repeat()
         else:
             self._send_ask()
 
+    def _schedule_repeat(self) -> None:
+        jitter = random.uniform(1 - _JITTER, 1 + _JITTER)  # noqa: S311
+        self._schedule_check(self._repeat_s * jitter)
+        self._repeat_s = min(2 * self._repeat_s, _REPEAT_MAX_S)
+
     def _send_ask(self) -> None:
         # Owners know one grant for each identifier, and this request holds one.
         held = self._attempt.grant
-        self._ask_count += 1
         silent = self._list_silent() - {held.runner}
         self._ask = msgspec.structs.replace(
             self._request.build_ask((held.runner, *sorted(silent))),
-            request_id=name_grant(held.request_id, self._ask_count),
+            request_id=name_grant(held.request_id, self._ask_count + 1),
             moves=True,
         )
+        if not self._broker.verification.may_be_granted(self._ask):
+            self._reason = 'no other runner is known that is not silent'
+            self._schedule_repeat()
+            return
+        self._ask_count += 1
         self._reason = 'no runner was granted'
         self._pending = PendingGrant()
         # The broker may answer before it returns.
@@ -186,7 +203,7 @@
         if self._reason:
             self._withdraw()
             if self._reason != _BUDGET_SPENT:
-                self._schedule_check(_REPEAT_S)
+                self._schedule_repeat()
             return
         self._moved = True
         self._log('stream_moved', to=answer.result().runner)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,6 +21,9 @@
     def __init__(self, script):
         #: Name of the runner to grant, or an error.
         self.script = list(script)
+        #: Whether a runner is known that the ask does not avoid.
+        self.known = True
+        self.verification = self
         self.asks = []
         self.withdrawn = []
         self.released = []
@@ -35,6 +38,9 @@
         else:
             handler.handle_refusal(answer)
 
+    def may_be_granted(self, _):
+        return self.known
+
     def withdraw(self, request_id):
         self.withdrawn.append(request_id)
 
@@ -275,6 +281,44 @@
     )
 
 
+# Guards against asks that can only bring grants which are of no use.
+def test_no_runner_is_asked_for_while_none_is_known(lines):
+    async def scenario():
+        setting = Setting('new')
+        setting.broker.known = False
+        await asyncio.sleep(LIMIT_S * 8)
+        assert not setting.broker.asks
+        setting.broker.known = True
+        await setting.wait_moved()
+        assert len(setting.broker.asks) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against an owner that is kept busy by the asks of stalled streams.
+def test_asks_are_repeated_after_growing_delays(lines, monkeypatch):
+    monkeypatch.setattr('anvilhall.handover.random.uniform', max)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        setting = Setting(*[Overloaded('full')] * 5)
+        delays = []
+        call_later = loop.call_later
+        monkeypatch.setattr(
+            loop,
+            'call_later',
+            lambda delay, *call: (
+                delays.append(delay) or call_later(min(delay, LIMIT_S), *call)
+            ),
+        )
+        await setting.wait_asks(5)
+        setting.handover.close()
+        return [delay for delay in delays if delay > LIMIT_S][:4]
+
+    delays = asyncio.run(scenario())
+    assert delays == pytest.approx([0.24, 0.48, 0.96, 0.96])
+
+
 def test_silence_counts_from_the_last_chunk_of_any_stream():
     activity = RunnerActivity()
     activity.begin('a', 1.0)
