Count a request that moves once against the limits of its account

Cause: its further ask was counted as running beside the first grant, so that another request of the account or class was refused meanwhile.

Change: admission counts the waiting and granted asks of a request, and the request itself from the first to the last of them.

Conclusion: a limit on concurrent requests admits the same number during a move as before it.

--- a/src/anvilhall/core/admission.py
+++ b/src/anvilhall/core/admission.py
@@ -1,8 +1,10 @@
 """Admission control by the limits of client accounts and classes."""
 
+import collections
+
 from anvilhall.core.estimates import OutputLengths
 from anvilhall.core.limits import Meter
-from anvilhall.core.messages import Ask
+from anvilhall.core.messages import Ask, Held, get_request_id
 from anvilhall.core.settings import Account, ClassSettings, Limits
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import AccountLimited, ClassLimited
@@ -13,11 +15,20 @@
 class Admission:
     """Usage of the accounts and classes that one shard has served."""
 
-    __slots__ = ('_accounts', '_by_account', '_by_class', '_lengths')
+    __slots__ = (
+        '_accounts',
+        '_ask_counts',
+        '_by_account',
+        '_by_class',
+        '_lengths',
+    )
 
     def __init__(self) -> None:
         """Start without settings."""
         self._accounts: dict[str, Account] = {}
+        #: Waiting and granted asks of each request. One that moves has two for
+        #: a time, but counts as one against the limits.
+        self._ask_counts: collections.Counter[str] = collections.Counter()
         self._by_account: dict[str, Meter] = {}
         self._by_class: dict[str, Meter] = {}
         self._lengths = OutputLengths()
@@ -55,12 +66,12 @@
     def admit(self, ask: Ask) -> None:
         """Charge a request that :meth:`check` has let pass.
 
-        One that moves only counts as running once more.
+        One that moves has been charged already and only counts as running.
         """
         if ask.moves:
-            self._by_account.setdefault(ask.account, Meter()).running += 1
-            self._by_class.setdefault(ask.class_name, Meter()).running += 1
+            self._adopt(ask.request_id, ask.account, ask.class_name)
             return
+        self._count_ask(ask.request_id)
         tokens = self.estimate_tokens(ask)
         self._by_account[ask.account].admit(tokens)
         self._by_class[ask.class_name].admit(tokens)
@@ -77,15 +88,30 @@
         """Use the length of a complete answer, in tokens, for estimates."""
         self._lengths.note(class_name, account, tokens)
 
-    def adopt(self, account: str, class_name: str) -> None:
+    def adopt(self, held: Held) -> None:
         """Count a running request that a previous owner has charged."""
-        self._by_account.setdefault(account, Meter()).admit(0)
-        self._by_class.setdefault(class_name, Meter()).admit(0)
+        self._adopt(held.request_id, held.account, held.class_name)
 
-    def release(self, account: str, class_name: str) -> None:
-        """Stop counting a request as running."""
+    def release(self, request_id: str, account: str, class_name: str) -> None:
+        """Stop counting a request as running, with the last of its asks."""
+        name = get_request_id(request_id)
+        self._ask_counts[name] -= 1
+        if self._ask_counts[name] > 0:
+            return
+        self._ask_counts.pop(name)
         self._by_account[account].release()
         self._by_class[class_name].release()
 
+    def _adopt(self, request_id: str, account: str, class_name: str) -> None:
+        if self._count_ask(request_id):
+            self._by_account.setdefault(account, Meter()).running += 1
+            self._by_class.setdefault(class_name, Meter()).running += 1
+
+    def _count_ask(self, request_id: str) -> bool:
+        """Count an ask; return whether it is the only one of its request."""
+        name = get_request_id(request_id)
+        self._ask_counts[name] += 1
+        return self._ask_counts[name] == 1
+
     def _get_account(self, name: str) -> Account:
         return self._accounts.get(name, _UNKNOWN_ACCOUNT)
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -302,7 +302,7 @@
         if held.tokens:
             self.screening.note_first_token(held.request_id, now)
         self._senders[held.request_id] = sender
-        self._admission.adopt(held.account, held.class_name)
+        self._admission.adopt(held)
 
     def keep_only(
         self, sender: str, request_ids: Container[str], now: float
@@ -509,7 +509,7 @@
         self._senders.pop(request_id, None)
         self._placed_at.pop(request_id, None)
         self.screening.forget(request_id)
-        self._admission.release(account, class_name)
+        self._admission.release(request_id, account, class_name)
 
 
 def _count_reserved_slots(
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -188,6 +188,23 @@
     assert not shard.submit('e', _ask('b', tokens=1), 4.0)
 
 
+# Guards against requests of an account that are refused because another one
+# counts twice while it moves.
+def test_request_that_moves_counts_once(root_json):
+    root_json['accounts']['ann']['limits'] = {'concurrent': 2}
+    shard = _build_shard(root_json, runners=2)
+    further = name_grant('a', 1)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    shard.submit('e', _ask(further, moves=True), 2.0)
+    shard.dispatch(2.0, WALL)
+    assert not shard.submit('e', _ask('b'), 2.1)
+    shard.release(Release('chat', 'a', served=False), 2.1)
+    assert shard.submit('e', _ask('c'), 2.1)
+    shard.release(Release('chat', further, served=True), 2.2)
+    assert not shard.submit('e', _ask('d'), 2.3)
+
+
 def test_stall_on_a_runner_that_serves_others_does_not_stop_its_grants(
     root_json,
 ):
