Grant or refuse the ask of a request that moves at once

Cause: such an ask waited in the queue. There it could shed a waiting request, stand before others of its class while the only free slot was on the runner that it avoids, and it could be granted that runner. Each grant that was given back was charged to the share of its class and account.

Change: it passes through the queue in the order of tiers for one dispatch, without making room, and is refused if it gets no slot. It is never granted a runner that it avoids and is not charged again.

Conclusion: asks that move neither shed nor hold back others. Only suspected: while the queue is never empty, each freed slot goes to a waiting request before the next ask of a stalled stream.

--- a/src/anvilhall/core/roster.py
+++ b/src/anvilhall/core/roster.py
@@ -177,7 +177,7 @@
 
         Only runners of the version that the request requires are eligible.
         Runners that the request asks to avoid are chosen only if no other is
-        eligible.
+        eligible, and never for a request that moves.
 
         :param reserved_slots: slots of each runner to leave free for higher
             tiers.
@@ -198,7 +198,7 @@
         preferred = [
             runner for runner in eligible if runner.name not in ask.avoid
         ]
-        candidates = preferred or eligible
+        candidates = preferred if ask.moves else preferred or eligible
         if not candidates:
             return None
         return min(
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -172,14 +172,16 @@
             self.release(_build_release(self._pool_name, ask.request_id), now)
         try:
             settings = self._check(ask, now)
-            shed_request = self._make_room(settings)
+            shed_request = None if ask.moves else self._make_room(settings)
         except RequestRefused as error:
             self.screening.forget(ask.request_id)
             return [_refuse(sender, ask.request_id, error)]
         self._senders[ask.request_id] = sender
         queued = QueuedRequest(ask, settings, now, sender)
         weight = self._admission.get_weight(ask.account)
-        queued.cost_tokens = self._admission.estimate_tokens(ask)
+        queued.cost_tokens = (
+            0 if ask.moves else self._admission.estimate_tokens(ask)
+        )
         self._queue.push(queued, weight, now)
         self._admission.admit(ask)
         if shed_request is None:
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -14,6 +14,7 @@
     Queued,
     Refusal,
     Release,
+    name_grant,
 )
 from anvilhall.core.owner import NOT_OWNER, Owner
 from anvilhall.core.roster import RunnerEndpoint
@@ -449,3 +450,40 @@
     assert handler.error is None
     receiver, ask = requester.sent[-1]
     assert (receiver, ask.version) == ('f1', 'v1')
+
+
+# Guards against lower tiers that wait behind a request which holds a slot and
+# can't have another one yet.
+def test_request_that_moves_is_granted_or_refused_at_once(clock, tree):
+    answers = []
+    owner = Owner(clock, lambda instance, message: answers.append(message))
+    owner.set_tree(tree)
+    owner.set_endpoints('desk', [RunnerEndpoint('r1', 'a:1')])
+    owner.take_over('desk', ())
+    ask = Ask('desk', 'q1', 'lookup', 'ann', 1, 1, 9.0)
+    owner.handle('e1', ask)
+    moving = msgspec.structs.replace(
+        ask, request_id=name_grant('q1', 1), moves=True, avoid=('r1',)
+    )
+    owner.handle('e1', moving)
+    grant, refusal = answers
+    assert isinstance(grant, Grant)
+    assert isinstance(refusal, Refusal)
+    assert refusal.request_id == moving.request_id
+    assert not owner.get_shard('desk').waiting_count
+
+
+# Guards against asks that only bring grants which are of no use.
+def test_request_may_be_granted_only_a_runner_that_it_does_not_avoid(
+    requester,
+):
+    may_be_granted = requester.broker.verification.may_be_granted
+    ask = Ask('desk', 'q1', 'lookup', 'ann', 1, 1, 9.0, avoid=('r1',))
+    assert not may_be_granted(ask)
+    requester.set_runners([_make_runner(), _make_runner('v1', name='r2')])
+    assert may_be_granted(ask)
+    assert may_be_granted(msgspec.structs.replace(ask, version='v1'))
+    assert not may_be_granted(msgspec.structs.replace(ask, version='v2'))
+    leaving = _make_runner(name='r2', leaving=True)
+    requester.set_runners([_make_runner(), leaving])
+    assert not may_be_granted(ask)
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -205,6 +205,27 @@
     assert not shard.submit('e', _ask('d'), 2.3)
 
 
+# Guards against waiting requests that are shed for one which holds a slot.
+def test_request_that_moves_sheds_no_other(root_json):
+    shard = _build_shard(root_json, slots=1, queue_limit=1)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    shard.submit('e', _ask('b', 'bulk'), 0.0)
+    ask = _ask(name_grant('a', 1), moves=True, avoid=('r0',))
+    assert not shard.submit('e', ask, 0.1)
+    assert shard.is_waiting('b')
+
+
+# Guards against slots that are taken for a time by grants which are of no use.
+def test_request_that_moves_is_not_granted_a_runner_to_avoid(root_json):
+    shard = _build_shard(root_json, slots=4)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    ask = _ask(name_grant('a', 1), moves=True, avoid=('r0',))
+    shard.submit('e', ask, 0.1)
+    assert not _get_granted(shard.dispatch(0.1, WALL))
+
+
 def test_stall_on_a_runner_that_serves_others_does_not_stop_its_grants(
     root_json,
 ):
