Report a stall to the owner when it begins

Cause: a stalled attempt stays open until another runner is granted, and only then was its failure reported. While its stream could not move, or when the caller left, the owner went on to grant the dead runner.

Change: a message of progress states the stall. It counts as one failure of the runner, not at all while other streams of it go on, and keeps the slot. A stalled attempt that ends without a move is released as stalled.

Tests: test_dead_runner_gets_no_further_streams[attempts], test_runner_of_stalled_streams_gets_no_others_and_keeps_their_slots, test_stall_beside_streams_that_go_on_does_not_stop_grants and test_stall_is_reported_once_when_it_begins failed before and pass now. test_dead_runner_gets_no_further_streams[budget] passed before as well.

Conclusion: of eight further streams at most one, a probe, goes to a dead runner whose streams stay.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -197,6 +197,19 @@
         limit = self._last_progress_at + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
 
+    def report_stall(self) -> None:
+        """Tell the owner of the runner that the attempt has stalled."""
+        self._services.broker.note_progress(
+            Progress(
+                pool=self.grant.pool,
+                request_id=self.grant.request_id,
+                first_token_s=0.0,
+                tokens=int(self.first_token_s > 0),
+                gap_s=0.0,
+                stalled=True,
+            ),
+        )
+
     def abort_stalled(self) -> None:
         """End the attempt with an error, as another runner is granted."""
         silent_s = self._services.clock.monotonic() - self._last_progress_at
@@ -209,6 +222,8 @@
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
         if self.handover:
+            if self.handover.stalled and not self.served:
+                self.failure = self.failure or UpstreamStalled.code
             self.handover.close()
         if not self.served:
             self.transfer.abort()
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -131,6 +131,8 @@
     #: Limit that the runner's answer names; infinite if it names none, ``None``
     #: if there is no answer yet.
     requests_per_s: float | None = None
+    #: Whether the request has reached its stall limit but keeps its slot.
+    stalled: bool = False
 
 
 class Release(_Message, frozen=True):
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -38,6 +38,7 @@
     Overloaded,
     RequestRefused,
     UnknownClass,
+    UpstreamStalled,
     VersionGone,
 )
 
@@ -235,6 +236,11 @@
         runner, assignment = found
         assignment.tokens = progress.tokens
         self.roster.note_limit(runner.name, progress.requests_per_s, now)
+        if progress.stalled:
+            # The streams of a runner stall together, which is one failure.
+            if not runner.health.unavailable:
+                runner.note_failure(UpstreamStalled.code, now)
+            return
         runner.note_progress(now)
         assignment.long = (
             assignment.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -504,6 +504,8 @@
     def close(self) -> None:
         """Release the grant; cancel a request that may still be running."""
         if self.handover:
+            if self.handover.stalled and not self.served:
+                self.failure = self.failure or UpstreamStalled.code
             self.handover.close()
         if not self.served:
             self.transfer.abort()
@@ -632,6 +634,19 @@
         """Return the grant of the runner that the answer moves to, if any."""
         return self.handover.take() if self.handover else None
 
+    def report_stall(self) -> None:
+        """Tell the owner of the runner that the attempt has stalled."""
+        self._services.broker.note_progress(
+            Progress(
+                pool=self.grant.pool,
+                request_id=self.grant.request_id,
+                first_token_s=0.0,
+                tokens=self._reader.event_count,
+                gap_s=0.0,
+                stalled=True,
+            ),
+        )
+
     def abort_stalled(self) -> None:
         """End the attempt with an error, as another runner is granted."""
         self.transfer.abort()
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -45,6 +45,9 @@
     def compute_time_left_s(self) -> float:
         """Return the seconds left until the attempt counts as stalled."""
 
+    def report_stall(self) -> None:
+        """Tell the owner of the runner that the attempt has stalled."""
+
     def abort_stalled(self) -> None:
         """End the attempt with an error, as another runner is granted."""
 
@@ -114,6 +117,11 @@
         #: Why the stalled stream has not been moved yet.
         self._reason = ''
 
+    @property
+    def stalled(self) -> bool:
+        """Whether the attempt has stalled and not gone on."""
+        return self._stalled
+
     def start(self) -> None:
         """Begin to observe the attempt."""
         self._schedule_check(self._attempt.compute_time_left_s())
@@ -159,6 +167,7 @@
             self._stalled = True
             self._repeat_s = _REPEAT_S
             self._activity.begin_stall(self._attempt.grant.runner)
+            self._attempt.report_stall()
         self._reason = self._request.find_obstacle()
         if self._reason:
             self._schedule_repeat()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -59,11 +59,15 @@
         self.progress_at = clock.monotonic()
         self.aborted = asyncio.Event()
         self.obstacle = ''
+        self.reports = 0
         self.budget = 1
 
     def compute_time_left_s(self):
         return self.progress_at + LIMIT_S - self._clock.monotonic()
 
+    def report_stall(self):
+        self.reports += 1
+
     def abort_stalled(self):
         self.aborted.set()
 
@@ -281,6 +285,20 @@
     )
 
 
+# Guards against new requests at a dead runner whose streams stay on it.
+def test_stall_is_reported_once_when_it_begins(lines):
+    async def scenario():
+        setting = Setting(Overloaded('full'), Overloaded('full'))
+        await setting.wait_asks(2)
+        assert setting.stream.reports == 1
+        setting.progress()
+        await setting.wait_asks(3)
+        assert setting.stream.reports == 2
+        setting.handover.close()
+
+    asyncio.run(scenario())
+
+
 # Guards against asks that can only bring grants which are of no use.
 def test_no_runner_is_asked_for_while_none_is_known(lines):
     async def scenario():
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -240,6 +240,36 @@
     assert _get_granted(shard.dispatch(2.1, WALL)) == ['c']
 
 
+# Guards against new requests at a dead runner whose streams stay on it.
+def test_runner_of_stalled_streams_gets_no_others_and_keeps_their_slots(
+    root_json,
+):
+    shard = _build_shard(root_json, slots=4)
+    for name in ('a', 'b'):
+        shard.submit('e', _ask(name), 0)
+    shard.dispatch(0, WALL)
+    for name in ('a', 'b'):
+        stalled = Progress('chat', name, 0.0, 0, 0.0, stalled=True)
+        shard.note_progress(stalled, 2.0)
+    assert shard.running_count == 2
+    shard.submit('e', _ask('c'), 2.1)
+    assert not _get_granted(shard.dispatch(2.1, WALL))
+    # One failure delays the first probe by half a second.
+    assert _get_granted(shard.dispatch(2.6, WALL)) == ['c']
+
+
+def test_stall_beside_streams_that_go_on_does_not_stop_grants(root_json):
+    shard = _build_shard(root_json, slots=4)
+    for name in ('a', 'b'):
+        shard.submit('e', _ask(name), 0)
+    shard.dispatch(0, WALL)
+    shard.note_progress(Progress('chat', 'b', 0.1, 1, 0.0), 1.9)
+    stalled = Progress('chat', 'a', 0.0, 0, 0.0, stalled=True)
+    shard.note_progress(stalled, 2.0)
+    shard.submit('e', _ask('c'), 2.1)
+    assert _get_granted(shard.dispatch(2.1, WALL)) == ['c']
+
+
 def test_requests_lost_by_a_restarted_runner_no_longer_count(root_json):
     root_json['accounts']['ann']['limits'] = {'concurrent': 1}
     shard = _build_shard(root_json)
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -355,3 +355,33 @@
             assert max(spent.values()) == 2
 
     asyncio.run(scenario())
+
+
+# Guards against a dead runner that gets further streams, because those that it
+# has may not move and their callers leave.
+@pytest.mark.parametrize(
+    ('attempts', 'slack'),
+    [(1, 20.0), (3, 0.0)],
+    ids=['attempts', 'budget'],
+)
+def test_dead_runner_gets_no_further_streams(attempts, slack):
+    async def scenario():
+        async with _run_engines(
+            8, 8, attempts=attempts, gateway={'retry_slack': slack}
+        ) as site:
+            dead = site.runners['llm-0']
+            dead.traits.pause_after = 0
+            dead.traits.pause_s = DEAD_S
+            counts = []
+            for _ in range(2):
+                begun = len(dead.runs)
+                tasks = _start_streams(site)
+                await asyncio.wait(tasks, timeout=2.0)
+                for task in tasks:
+                    task.cancel()
+                await wait_until(lambda: _is_released(site))
+                counts.append(len(dead.runs) - begun)
+            assert counts[0]
+            assert counts[1] <= 1, counts
+
+    asyncio.run(scenario())
