--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -162,8 +162,7 @@
         :raises AnvilhallError: if the runner does not serve the request.
         """
         services = self._services
-        streaming = self._job.route.streaming
-        if streaming:
+        if self._job.route.streaming:
             services.activity.begin(self.grant.runner, self._granted_at)
         if self.handover:
             self.handover.start()
@@ -177,8 +176,10 @@
         except AnvilhallError as error:
             self._raise_failure(self._classify_failure(error))
         finally:
-            if streaming:
-                services.activity.end(self.grant.runner)
+            if self._job.route.streaming:
+                services.activity.end(
+                    self.grant.runner, begun=self.first_token_s > 0
+                )
         problem = self._problem or self._check_end()
         if problem:
             self._raise_failure(problem)
@@ -199,6 +200,19 @@
         limit = self._last_progress_at + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
 
+    def report_stall(self) -> None:
+        """Tell the owner of the runner that the attempt has stalled."""
+        self._services.broker.note_progress(
+            Progress(
+                pool=self.grant.pool,
+                request_id=self.grant.request_id,
+                first_token_s=0.0,
+                tokens=int(self.first_token_s > 0),
+                gap_s=0.0,
+                stalled=True,
+            ),
+        )
+
     def abort_stalled(self) -> None:
         """End the attempt with an error, as another runner is granted."""
         silent_s = self._services.clock.monotonic() - self._last_progress_at
@@ -211,6 +225,8 @@
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
         if self.handover:
+            if self.handover.stalled and not self.served:
+                self.failure = self.failure or UpstreamStalled.code
             self.handover.close()
         if not self.served:
             self.transfer.abort()
@@ -377,6 +393,7 @@
         if not self.first_token_s:
             self.first_token_s = max(now - self._granted_at, _MIN_FIRST_TOKEN_S)
             if self._job.route.streaming:
+                self._services.activity.note_begun(self.grant.runner)
                 self._report_first_token()
         if self._forwarding:
             self._forward(chunk)
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -38,6 +38,7 @@
     Overloaded,
     RequestRefused,
     UnknownClass,
+    UpstreamStalled,
     VersionGone,
 )
 
@@ -172,14 +173,16 @@
             self.release(_build_release(self._pool_name, ask.request_id), now)
         try:
             settings = self._check(ask, now)
-            shed_request = self._make_room(settings)
+            shed_request = None if ask.moves else self._make_room(settings)
         except RequestRefused as error:
             self.screening.forget(ask.request_id)
             return [_refuse(sender, ask.request_id, error)]
         self._senders[ask.request_id] = sender
         queued = QueuedRequest(ask, settings, now, sender)
         weight = self._admission.get_weight(ask.account)
-        queued.cost_tokens = self._admission.estimate_tokens(ask)
+        queued.cost_tokens = (
+            0 if ask.moves else self._admission.estimate_tokens(ask)
+        )
         self._queue.push(queued, weight, now)
         self._admission.admit(ask)
         if shed_request is None:
@@ -233,6 +236,11 @@
         runner, assignment = found
         assignment.tokens = progress.tokens
         self.roster.note_limit(runner.name, progress.requests_per_s, now)
+        if progress.stalled:
+            # The streams of a runner stall together, which is one failure.
+            if not runner.health.unavailable:
+                runner.note_failure(UpstreamStalled.code, now)
+            return
         runner.note_progress(now)
         assignment.long = (
             assignment.long or progress.tokens >= defaults.LONG_OUTPUT_TOKENS
@@ -302,7 +310,7 @@
         if held.tokens:
             self.screening.note_first_token(held.request_id, now)
         self._senders[held.request_id] = sender
-        self._admission.adopt(held.account, held.class_name)
+        self._admission.adopt(held)
 
     def keep_only(
         self, sender: str, request_ids: Container[str], now: float
@@ -509,7 +517,7 @@
         self._senders.pop(request_id, None)
         self._placed_at.pop(request_id, None)
         self.screening.forget(request_id)
-        self._admission.release(account, class_name)
+        self._admission.release(request_id, account, class_name)
 
 
 def _count_reserved_slots(
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from typing import Protocol
 
 import msgspec
@@ -18,8 +19,13 @@
 from anvilhall.logs import log_event
 
 #: Seconds until a runner is asked for again, if none was granted or the granted
-#: one is no better.
+#: one is no better: at first and at most. They double with each ask.
+#: A slot that becomes free is to be used within half a second.
 _REPEAT_S = 0.2
+_REPEAT_MAX_S = 0.4
+#: Share by which these seconds are shortened at random, so that the asks of
+#: streams which stall together spread.
+_JITTER = 0.2
 #: Share of the stall timeout for which a runner's streams must all have been
 #: silent for it to be no better: runners may fall silent one after another.
 _SILENT_SHARE = 0.5
@@ -39,6 +45,9 @@
     def compute_time_left_s(self) -> float:
         """Return the seconds left until the attempt counts as stalled."""
 
+    def report_stall(self) -> None:
+        """Tell the owner of the runner that the attempt has stalled."""
+
     def abort_stalled(self) -> None:
         """End the attempt with an error, as another runner is granted."""
 
@@ -77,6 +86,7 @@
         '_moved',
         '_pending',
         '_reason',
+        '_repeat_s',
         '_request',
         '_stalled',
         '_timer',
@@ -102,10 +112,16 @@
         self._ask: Ask
         self._ask_count = 0
         self._stalled = False
+        self._repeat_s = _REPEAT_S
         self._moved = False
         #: Why the stalled stream has not been moved yet.
         self._reason = ''
 
+    @property
+    def stalled(self) -> bool:
+        """Whether the attempt has stalled and not gone on."""
+        return self._stalled
+
     def start(self) -> None:
         """Begin to observe the attempt."""
         self._schedule_check(self._attempt.compute_time_left_s())
@@ -133,7 +149,7 @@
         if self._timer:
             self._timer.cancel()
         self._withdraw()
-        if self._stalled and not self._moved:
+        if self._stalled:
             self._end_stall()
 
     def _schedule_check(self, delay_s: float) -> None:
@@ -147,23 +163,36 @@
         if left_s > 0:
             self._schedule_check(left_s)
             return
-        self._stalled = True
+        if not self._stalled:
+            self._stalled = True
+            self._repeat_s = _REPEAT_S
+            self._activity.begin_stall(self._attempt.grant.runner)
+            self._attempt.report_stall()
         self._reason = self._request.find_obstacle()
         if self._reason:
-            self._schedule_check(_REPEAT_S)
+            self._schedule_repeat()
         else:
             self._send_ask()
 
+    def _schedule_repeat(self) -> None:
+        jitter = random.uniform(1 - _JITTER, 1)  # noqa: S311
+        self._schedule_check(self._repeat_s * jitter)
+        self._repeat_s = min(2 * self._repeat_s, _REPEAT_MAX_S)
+
     def _send_ask(self) -> None:
         # Owners know one grant for each identifier, and this request holds one.
         held = self._attempt.grant
-        self._ask_count += 1
         silent = self._list_silent() - {held.runner}
         self._ask = msgspec.structs.replace(
             self._request.build_ask((held.runner, *sorted(silent))),
-            request_id=name_grant(held.request_id, self._ask_count),
+            request_id=name_grant(held.request_id, self._ask_count + 1),
             moves=True,
         )
+        if not self._broker.verification.may_be_granted(self._ask):
+            self._reason = 'no other runner is known that is not silent'
+            self._schedule_repeat()
+            return
+        self._ask_count += 1
         self._reason = 'no runner was granted'
         self._pending = PendingGrant()
         # The broker may answer before it returns.
@@ -184,7 +213,7 @@
         if self._reason:
             self._withdraw()
             if self._reason != _BUDGET_SPENT:
-                self._schedule_check(_REPEAT_S)
+                self._schedule_repeat()
             return
         self._moved = True
         self._log('stream_moved', to=answer.result().runner)
@@ -216,7 +245,9 @@
 
     def _end_stall(self) -> None:
         self._stalled = False
-        self._log('stream_not_moved', reason=self._reason)
+        self._activity.end_stall(self._attempt.grant.runner)
+        if not self._moved:
+            self._log('stream_not_moved', reason=self._reason)
 
     def _log(self, kind: str, **fields: object) -> None:
         attempt = self._attempt
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,6 +21,9 @@
     def __init__(self, script):
         #: Name of the runner to grant, or an error.
         self.script = list(script)
+        #: Whether a runner is known that the ask does not avoid.
+        self.known = True
+        self.verification = self
         self.asks = []
         self.withdrawn = []
         self.released = []
@@ -35,6 +38,9 @@
         else:
             handler.handle_refusal(answer)
 
+    def may_be_granted(self, _):
+        return self.known
+
     def withdraw(self, request_id):
         self.withdrawn.append(request_id)
 
@@ -53,11 +59,15 @@
         self.progress_at = clock.monotonic()
         self.aborted = asyncio.Event()
         self.obstacle = ''
+        self.reports = 0
         self.budget = 1
 
     def compute_time_left_s(self):
         return self.progress_at + LIMIT_S - self._clock.monotonic()
 
+    def report_stall(self):
+        self.reports += 1
+
     def abort_stalled(self):
         self.aborted.set()
 
@@ -138,6 +148,7 @@
     async def scenario():
         setting = Setting('silent', 'new')
         setting.activity.begin('silent', setting.clock.monotonic())
+        setting.activity.note_begun('silent')
         await setting.wait_moved()
         first, second = setting.broker.asks
         assert first.avoid == second.avoid == ('old', 'silent')
@@ -153,6 +164,7 @@
         setting = Setting()
         now = setting.clock.monotonic()
         setting.activity.begin('busy', now)
+        setting.activity.note_begun('busy')
         setting.activity.note('busy', now + WAIT_S)
         setting.broker.script.append('busy')
         await setting.wait_moved()
@@ -273,14 +285,102 @@
     )
 
 
+# Guards against new requests at a dead runner whose streams stay on it.
+def test_stall_is_reported_once_when_it_begins(lines):
+    async def scenario():
+        setting = Setting(Overloaded('full'), Overloaded('full'))
+        await setting.wait_asks(2)
+        assert setting.stream.reports == 1
+        setting.progress()
+        await setting.wait_asks(3)
+        assert setting.stream.reports == 2
+        setting.handover.close()
+
+    asyncio.run(scenario())
+
+
+# Guards against asks that can only bring grants which are of no use.
+def test_no_runner_is_asked_for_while_none_is_known(lines):
+    async def scenario():
+        setting = Setting('new')
+        setting.broker.known = False
+        await asyncio.sleep(LIMIT_S * 8)
+        assert not setting.broker.asks
+        setting.broker.known = True
+        await setting.wait_moved()
+        assert len(setting.broker.asks) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against an owner that is kept busy by the asks of stalled streams.
+def test_asks_are_repeated_after_growing_delays(lines, monkeypatch):
+    monkeypatch.setattr('anvilhall.handover.random.uniform', max)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        setting = Setting(*[Overloaded('full')] * 5)
+        delays = []
+        call_later = loop.call_later
+        monkeypatch.setattr(
+            loop,
+            'call_later',
+            lambda delay, *call: (
+                delays.append(delay) or call_later(min(delay, LIMIT_S), *call)
+            ),
+        )
+        await setting.wait_asks(5)
+        setting.handover.close()
+        return [delay for delay in delays if delay > LIMIT_S][:4]
+
+    delays = asyncio.run(scenario())
+    assert delays == pytest.approx([0.2, 0.4, 0.4, 0.4])
+
+
 def test_silence_counts_from_the_last_chunk_of_any_stream():
     activity = RunnerActivity()
     activity.begin('a', 1.0)
+    activity.note_begun('a')
     activity.begin('a', 2.0)
     assert activity.list_silent(1.0) == {'a'}
     activity.note('a', 3.0)
     assert not activity.list_silent(2.0)
-    activity.end('a')
+    activity.end('a', begun=False)
     assert activity.list_silent(3.0) == {'a'}
-    activity.end('a')
+    activity.end('a', begun=True)
+    assert not activity.list_silent(9.0)
+
+
+# Guards against a sound runner that no stream moves to, as its streams have
+# not sent their first event yet.
+def test_stream_that_has_not_begun_is_silent_from_its_own_limit():
+    activity = RunnerActivity()
+    activity.begin('a', 1.0)
+    activity.begin('a', 1.5)
+    assert not activity.list_silent(9.0)
+    activity.begin_stall('a')
+    assert activity.list_silent(1.0) == {'a'}
+    activity.end_stall('a')
     assert not activity.list_silent(9.0)
+    activity.begin_stall('a')
+    activity.note('a', 3.0)
+    assert not activity.list_silent(2.5)
+    assert activity.list_silent(3.0) == {'a'}
+
+
+# Guards against a stalled stream whose runner is not known to be silent.
+def test_stall_of_a_stream_counts_until_its_end(lines):
+    async def scenario():
+        setting = Setting()
+        setting.activity.begin('old', setting.clock.monotonic())
+        await setting.wait_asks(1)
+        now = setting.clock.monotonic()
+        assert setting.activity.list_silent(now) == {'old'}
+        setting.progress()
+        assert not setting.activity.list_silent(now)
+        await setting.wait_asks(2)
+        assert setting.activity.list_silent(now) == {'old'}
+        setting.handover.close()
+        assert not setting.activity.list_silent(now)
+
+    asyncio.run(scenario())
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -188,6 +188,44 @@
     assert not shard.submit('e', _ask('b', tokens=1), 4.0)
 
 
+# Guards against requests of an account that are refused because another one
+# counts twice while it moves.
+def test_request_that_moves_counts_once(root_json):
+    root_json['accounts']['ann']['limits'] = {'concurrent': 2}
+    shard = _build_shard(root_json, runners=2)
+    further = name_grant('a', 1)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    shard.submit('e', _ask(further, moves=True), 2.0)
+    shard.dispatch(2.0, WALL)
+    assert not shard.submit('e', _ask('b'), 2.1)
+    shard.release(Release('chat', 'a', served=False), 2.1)
+    assert shard.submit('e', _ask('c'), 2.1)
+    shard.release(Release('chat', further, served=True), 2.2)
+    assert not shard.submit('e', _ask('d'), 2.3)
+
+
+# Guards against waiting requests that are shed for one which holds a slot.
+def test_request_that_moves_sheds_no_other(root_json):
+    shard = _build_shard(root_json, slots=1, queue_limit=1)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    shard.submit('e', _ask('b', 'bulk'), 0.0)
+    ask = _ask(name_grant('a', 1), moves=True, avoid=('r0',))
+    assert not shard.submit('e', ask, 0.1)
+    assert shard.is_waiting('b')
+
+
+# Guards against slots that are taken for a time by grants which are of no use.
+def test_request_that_moves_is_not_granted_a_runner_to_avoid(root_json):
+    shard = _build_shard(root_json, slots=4)
+    shard.submit('e', _ask('a'), 0.0)
+    shard.dispatch(0.0, WALL)
+    ask = _ask(name_grant('a', 1), moves=True, avoid=('r0',))
+    shard.submit('e', ask, 0.1)
+    assert not _get_granted(shard.dispatch(0.1, WALL))
+
+
 def test_stall_on_a_runner_that_serves_others_does_not_stop_its_grants(
     root_json,
 ):
@@ -202,6 +240,36 @@
     assert _get_granted(shard.dispatch(2.1, WALL)) == ['c']
 
 
+# Guards against new requests at a dead runner whose streams stay on it.
+def test_runner_of_stalled_streams_gets_no_others_and_keeps_their_slots(
+    root_json,
+):
+    shard = _build_shard(root_json, slots=4)
+    for name in ('a', 'b'):
+        shard.submit('e', _ask(name), 0)
+    shard.dispatch(0, WALL)
+    for name in ('a', 'b'):
+        stalled = Progress('chat', name, 0.0, 0, 0.0, stalled=True)
+        shard.note_progress(stalled, 2.0)
+    assert shard.running_count == 2
+    shard.submit('e', _ask('c'), 2.1)
+    assert not _get_granted(shard.dispatch(2.1, WALL))
+    # One failure delays the first probe by half a second.
+    assert _get_granted(shard.dispatch(2.6, WALL)) == ['c']
+
+
+def test_stall_beside_streams_that_go_on_does_not_stop_grants(root_json):
+    shard = _build_shard(root_json, slots=4)
+    for name in ('a', 'b'):
+        shard.submit('e', _ask(name), 0)
+    shard.dispatch(0, WALL)
+    shard.note_progress(Progress('chat', 'b', 0.1, 1, 0.0), 1.9)
+    stalled = Progress('chat', 'a', 0.0, 0, 0.0, stalled=True)
+    shard.note_progress(stalled, 2.0)
+    shard.submit('e', _ask('c'), 2.1)
+    assert _get_granted(shard.dispatch(2.1, WALL)) == ['c']
+
+
 def test_requests_lost_by_a_restarted_runner_no_longer_count(root_json):
     root_json['accounts']['ann']['limits'] = {'concurrent': 1}
     shard = _build_shard(root_json)
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -64,6 +64,13 @@
     return shard.roster.slots if shard else 0
 
 
+def _list_stalled(site):
+    """Return the runners that have been silent for the stall timeout."""
+    services = site.gateways['g1'].context.services
+    since = services.clock.monotonic() - 1.2
+    return services.activity.list_silent(since)
+
+
 def _is_released(site):
     """Return whether no request waits or holds a slot."""
     broker = _get_broker(site)
@@ -213,6 +220,40 @@
     asyncio.run(scenario())
 
 
+# Guards against a sound runner that is taken for silent, as all that it serves
+# is a plain request, so that a dead runner is never left.
+def test_runner_of_a_long_plain_request_is_moved_to():
+    async def scenario():
+        async with _run_engines(1, 4) as site:
+            plain = make_route(
+                'plain',
+                service='llm',
+                kind='non_idempotent',
+                attempts=1,
+                timeout_ms=8000,
+            )
+            await site.publish(make_manifest(3, (_make_chat(3), plain)))
+            await wait_until(lambda: site.gateways['g1'].context.version == 3)
+            dead, sound = site.runners['llm-0'], site.runners['llm-1']
+            dead.traits.pause_after = 2
+            dead.traits.pause_s = DEAD_S
+            (stream,) = _start_streams(site, 1)
+            await wait_until(lambda: dead.runs)
+            sound.behaviours.append('mute')
+            headers = {'Anvilhall-Deadline-Ms': '8000'}
+            call = asyncio.ensure_future(
+                site.fetch(
+                    '/plain/1', method='POST', body=b'q', headers=headers
+                )
+            )
+            await wait_until(lambda: sound.runs)
+            async with asyncio.timeout(3):
+                assert await stream == BODY
+            call.cancel()
+
+    asyncio.run(scenario())
+
+
 @contextlib.asynccontextmanager
 async def _wait_to_move(deadline_ms=4000, **fields):
     """Run a site with streams that wait to leave their dead runners.
@@ -226,7 +267,9 @@
         headers = {'Anvilhall-Deadline-Ms': str(deadline_ms)}
         tasks = _start_streams(site, 2, headers=headers)
         await wait_until(lambda: _get_shard(site).running_count == 2)
-        await wait_until(lambda: _get_shard(site).waiting_count == 2)
+        await wait_until(lambda: _list_stalled(site) == set(site.runners))
+        # No ask waits, because no runner is known that isn't silent.
+        assert not _get_shard(site).waiting_count
         yield site, tasks
         for task in tasks:
             task.cancel()
@@ -332,3 +375,33 @@
             assert max(spent.values()) == 2
 
     asyncio.run(scenario())
+
+
+# Guards against a dead runner that gets further streams, because those that it
+# has may not move and their callers leave.
+@pytest.mark.parametrize(
+    ('attempts', 'slack'),
+    [(1, 20.0), (3, 0.0)],
+    ids=['attempts', 'budget'],
+)
+def test_dead_runner_gets_no_further_streams(attempts, slack):
+    async def scenario():
+        async with _run_engines(
+            8, 8, attempts=attempts, gateway={'retry_slack': slack}
+        ) as site:
+            dead = site.runners['llm-0']
+            dead.traits.pause_after = 0
+            dead.traits.pause_s = DEAD_S
+            counts = []
+            for _ in range(2):
+                begun = len(dead.runs)
+                tasks = _start_streams(site)
+                await asyncio.wait(tasks, timeout=2.0)
+                for task in tasks:
+                    task.cancel()
+                await wait_until(lambda: _is_released(site))
+                counts.append(len(dead.runs) - begun)
+            assert counts[0]
+            assert counts[1] <= 1, counts
+
+    asyncio.run(scenario())
