Move a stalled stream once the retry budget has been refilled

Cause: after a grant that the spent budget did not allow, the stream was never checked again and stayed with its dead runner. The budget was looked at only after a slot had been granted.

Change: a spent budget is an obstacle that is found before a runner is asked for, and looked at again with the next repeat; if it is spent between the ask and the grant, after 1 s.

Tests: test_stream_moves_when_the_budget_is_refilled failed before and passes now; test_retry_that_is_left_may_be_spent covers the new query.

Conclusion: a stalled stream moves at the latest 1 s after a retry is left, if a runner is free.

--- a/src/anvilhall/core/retries.py
+++ b/src/anvilhall/core/retries.py
@@ -36,8 +36,8 @@
         _drop_older(self._first_attempts, now - defaults.RETRY_WINDOW_S)
         self._first_attempts.append(now)
 
-    def try_spend(self, now: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def has_left(self, now: float) -> bool:
+        """Return whether the budget has a retry left."""
         oldest = now - defaults.RETRY_WINDOW_S
         _drop_older(self._first_attempts, oldest)
         _drop_older(self._retries, oldest)
@@ -45,7 +45,11 @@
             self.minimum,
             int(len(self._first_attempts) * self.share),
         )
-        if len(self._retries) >= allowed:
+        return len(self._retries) < allowed
+
+    def try_spend(self, now: float) -> bool:
+        """Take one retry from the budget; return whether one was left."""
+        if not self.has_left(now):
             return False
         self._retries.append(now)
         return True
@@ -116,17 +120,20 @@
         """Count a first attempt; ``now`` in monotonic seconds."""
         self._get_budget(pool).note_first_attempt(now)
 
+    def has_left(self, pool: str, now: float) -> bool:
+        """Return whether a pool's budget has a retry left."""
+        return self._get_budget(pool).has_left(now)
+
     def try_spend(self, pool: str, now: float) -> bool:
         """Take one retry from a pool's budget; return whether one was left."""
-        budget = self._get_budget(pool)
-        budget.minimum = int(self._slack / max(1, self.instances))
-        return budget.try_spend(now)
+        return self._get_budget(pool).try_spend(now)
 
     def _get_budget(self, pool: str) -> RetryBudget:
         budget = self._by_pool.get(pool)
         if budget is None:
             budget = RetryBudget(self._share)
             self._by_pool[pool] = budget
+        budget.minimum = int(self._slack / max(1, self.instances))
         return budget
 
 
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -37,7 +37,7 @@
     UpstreamStalled,
 )
 from anvilhall.grants import PendingGrant, note_limit
-from anvilhall.handover import Handover
+from anvilhall.handover import BUDGET_SPENT, Handover
 from anvilhall.jobs import Job
 from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
@@ -219,6 +219,9 @@
             return f'{error.code}: {error.reason}'
         if self._failed_attempts + 1 >= defaults.ATTEMPTS_LIMIT:
             return 'the attempts of the request are spent'
+        now = self._services.clock.monotonic()
+        if not self._services.retry_budget.has_left(now):
+            return BUDGET_SPENT
         return ''
 
     def try_spend_retry(self) -> bool:
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -29,8 +29,11 @@
 #: Share of the stall timeout for which a runner's streams must all have been
 #: silent for it to be no better: runners may fall silent one after another.
 _SILENT_SHARE = 0.5
-#: Reason for which a stalled stream is not moved any more.
-_BUDGET_SPENT = 'the retry budget is spent'
+#: Seconds until a runner is asked for again, if the retry budget was spent
+#: between the ask and its grant.
+_BUDGET_REPEAT_S = 1.0
+#: Reason for which a stalled stream is not moved for now.
+BUDGET_SPENT = 'the retry budget is spent'
 
 
 class StreamAttempt(Protocol):
@@ -212,7 +215,9 @@
             raise error
         if self._reason:
             self._withdraw()
-            if self._reason != _BUDGET_SPENT:
+            if self._reason == BUDGET_SPENT:
+                self._schedule_check(_BUDGET_REPEAT_S)
+            else:
                 self._schedule_repeat()
             return
         self._moved = True
@@ -231,7 +236,7 @@
         obstacle = self._request.find_obstacle()
         if obstacle or self._request.try_spend_retry():
             return obstacle
-        return _BUDGET_SPENT
+        return BUDGET_SPENT
 
     def _list_silent(self) -> frozenset[str]:
         silent_s = self._attempt.stall_timeout_s * _SILENT_SHARE
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -21,7 +21,7 @@
     UpstreamRefused,
 )
 from anvilhall.grants import PendingGrant
-from anvilhall.handover import Handover
+from anvilhall.handover import BUDGET_SPENT, Handover
 from anvilhall.logs import log_failed_attempt
 from anvilhall.relayjobs import RelayJob, RelayServices
 
@@ -185,6 +185,9 @@
             return 'its events have no identifiers'
         if self.sends + 1 >= self._job.route.attempts:
             return 'the attempts of the route are spent'
+        now = self._services.clock.monotonic()
+        if not self._services.budgets.has_left(self._job.pool_name, now):
+            return BUDGET_SPENT
         return ''
 
     def try_spend_retry(self) -> bool:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 from anvilhall.clock import SystemClock
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.messages import Ask, Grant, get_request_id
+from anvilhall.core.retries import RetryBudget
 from anvilhall.exceptions import Overloaded
 from anvilhall.handover import Handover
 
@@ -337,6 +338,20 @@
     assert delays == pytest.approx([0.2, 0.4, 0.4, 0.4])
 
 
+# Guards against a stream that stays with a dead runner although the retry
+# budget has been refilled.
+def test_stream_moves_when_the_budget_is_refilled(lines):
+    async def scenario():
+        setting = Setting('new', 'new')
+        setting.stream.budget = 0
+        await setting.wait_asks(1)
+        setting.stream.budget = 1
+        await setting.wait_moved()
+        assert len(setting.broker.asks) == 2
+
+    asyncio.run(scenario())
+
+
 def test_silence_counts_from_the_last_chunk_of_any_stream():
     activity = RunnerActivity()
     activity.begin('a', 1.0)
@@ -384,3 +399,15 @@
         assert not setting.activity.list_silent(now)
 
     asyncio.run(scenario())
+
+
+def test_retry_that_is_left_may_be_spent():
+    budget = RetryBudget(1.0)
+    budget.minimum = 0
+    assert not budget.has_left(1.0)
+    budget.note_first_attempt(1.0)
+    assert budget.has_left(1.0)
+    assert budget.has_left(1.0)
+    assert budget.try_spend(1.0)
+    assert not budget.has_left(1.0)
+    assert not budget.try_spend(1.0)
