Let a request that moves wait for a slot in a queue of its own

What callers would have seen: beside a dead runner in a full pool, streams that stay until their caller leaves. Cause: the ask of a stalled stream was refused unless a slot was free at that moment, so that each slot that became free went to a waiting request first. Queued with the others of its class, it could stand before requests that may use the runner which it avoids.

Ruled out: refusing and asking again more often, as waiting requests are granted in the moment in which a slot becomes free.

Change: such asks wait in a queue of their own for each class, tier and version, which takes turns with the others of the class. Their expiry holds no lower priority back.

Tests: test_request_that_moves_gets_a_slot_in_its_turn and test_expiry_of_a_request_that_moves_holds_nothing_back failed before and pass now.

Conclusion: a stalled stream waits in its turn.

--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -196,7 +196,7 @@
             return
         self._apply(owned, sender, message)
         self._dispatch(owned)
-        if isinstance(message, Ask) and (message.at_once or message.moves):
+        if isinstance(message, Ask) and message.at_once:
             self._refuse_unless_granted(owned, sender, message.request_id)
         elif isinstance(message, Ask):
             self._confirm_queued(owned, sender, message.request_id)
--- a/src/anvilhall/core/queues.py
+++ b/src/anvilhall/core/queues.py
@@ -6,9 +6,10 @@
 request. A class that has had no grant for its floor interval is served before
 all tiers, which prevents starvation.
 
-Requests that require a software version of the runner wait in a queue of their
-own, as runners of one version may be full while others are free. All queues of
-a class share its virtual time and its floor interval.
+Requests that require a software version of the runner, and those that are to
+leave their runner, wait in queues of their own, as the runners that they may
+use may be full while others are free. All queues of a class share its virtual
+time and its floor interval.
 """
 
 import heapq
@@ -82,8 +83,8 @@
 
 #: Expiry time, sequence number of arrival, and the request.
 _Entry = tuple[float, int, QueuedRequest]
-#: Class, tier and required version.
-_QueueKey = tuple[str, int, str | None]
+#: Class, tier, required version, and whether the requests hold a grant.
+_QueueKey = tuple[str, int, str | None, bool]
 #: Virtual time and index of a class, and when a queue was served last.
 _UsageOrder = tuple[float, int, float]
 
@@ -301,8 +302,8 @@
     def __init__(self, policy: Policy) -> None:
         """Start empty."""
         #: By class, tier, because an account's tier may replace its class's,
-        #: and required version. Queues of a version are dropped when they are
-        #: empty, because versions come and go.
+        #: required version and whether the requests move. Queues of these are
+        #: dropped when they are empty, because versions come and go.
         self._classes: dict[_QueueKey, ClassQueue] = {}
         #: By class and tier.
         self._usages: dict[tuple[str, int], ClassUsage] = {}
@@ -407,7 +408,7 @@
         key = _get_key(request)
         queue = self._classes.get(key)
         if queue is None:
-            name, tier, version = key
+            name, tier, version, _ = key
             usage = self._usages.setdefault(
                 (name, tier), ClassUsage(len(self._usages))
             )
@@ -416,17 +417,18 @@
         return queue
 
     def _drop_if_empty(self, queue: ClassQueue, removed: QueuedRequest) -> None:
-        """Drop the queue of a version once it is empty.
+        """Drop a queue of a version or of requests that move once it is empty.
 
         :param removed: its last request.
         """
-        if queue.version is not None and not queue.length:
+        ask = removed.ask
+        if (ask.version is not None or ask.moves) and not queue.length:
             self._classes.pop(_get_key(removed))
 
 
 def _get_key(request: QueuedRequest) -> _QueueKey:
     ask = request.ask
-    return ask.class_name, request.class_settings.tier, ask.version
+    return ask.class_name, request.class_settings.tier, ask.version, ask.moves
 
 
 def _get_entry_shed_order(entry: _Entry) -> tuple[bool, int]:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -406,8 +406,8 @@
                 self._release_ask(queued.ask)
                 error = self._build_expiry_error(queued, now)
                 priority = _get_priority(queued.class_settings)
-                if queued.ask.version is None:
-                    # Runners of other versions may be free.
+                if queued.ask.version is None and not queued.ask.moves:
+                    # Runners that these may not use may be free.
                     self._expired_at[priority] = now
                 actions.append(_refuse(queued.sender, request_id, error))
         all_refused: list[tuple[QueuedRequest, RequestRefused]] = [
