Move a stalled stream to a runner that failed it before if there is no other

What callers saw: a chat whose second engine fell silent as well stayed there until its deadline, although the first one was sound again. Cause: an ask of a stream that moves is never granted a runner that it avoids, and it avoided all runners that had failed the request, not only the present and the silent ones. Evidence: test_first_byte_timeout_moves_request_to_another_engine, an older test, did not end in a run of the whole suite, and again alone.

Ruled out: the ask itself; none was sent, as no candidate was known.

Change: if only such runners are left, they are not avoided.

--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -186,12 +186,17 @@
         # Owners know one grant for each identifier, and this request holds one.
         held = self._attempt.grant
         silent = self._list_silent() - {held.runner}
+        no_better = (held.runner, *sorted(silent))
         self._ask = msgspec.structs.replace(
-            self._request.build_ask((held.runner, *sorted(silent))),
+            self._request.build_ask(no_better),
             request_id=name_grant(held.request_id, self._ask_count + 1),
             moves=True,
         )
-        if not self._broker.verification.may_be_granted(self._ask):
+        may_be_granted = self._broker.verification.may_be_granted
+        if not may_be_granted(self._ask):
+            # A runner that failed the request before is better than a dead one.
+            self._ask = msgspec.structs.replace(self._ask, avoid=no_better)
+        if not may_be_granted(self._ask):
             self._reason = 'no other runner is known that is not silent'
             self._schedule_repeat()
             return
