Check a stream by the limit between events from its first event on

Cause: the check of a stall was set once by the limit of the first event and not again when the shorter one came into force.

Ruled out: the relay, which has one limit for both.

Change: the check is set anew at the first event.

--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -83,6 +83,7 @@
         '_activity',
         '_ask',
         '_ask_count',
+        '_begun',
         '_attempt',
         '_broker',
         '_clock',
@@ -114,6 +115,8 @@
         self._pending: PendingGrant | None = None
         self._ask: Ask
         self._ask_count = 0
+        #: Whether the attempt has sent an event.
+        self._begun = False
         self._stalled = False
         self._repeat_s = _REPEAT_S
         self._moved = False
@@ -131,10 +134,16 @@
 
     def note_progress(self) -> None:
         """Withdraw the ask, as the runner has gone on."""
-        if self._stalled and not self._moved:
+        if self._moved:
+            return
+        if self._stalled:
             self._withdraw()
             self._end_stall()
-            self._schedule_check(self._attempt.compute_time_left_s())
+        elif self._begun:
+            return
+        # The limit between events may be shorter than that of the first one.
+        self._begun = True
+        self._schedule_check(self._attempt.compute_time_left_s())
 
     def take(self) -> PendingGrant | None:
         """Return the grant of the runner that the stream moves to, if any.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -64,7 +64,8 @@
         self.budget = 1
 
     def compute_time_left_s(self):
-        return self.progress_at + LIMIT_S - self._clock.monotonic()
+        limit_at = self.progress_at + self.stall_timeout_s
+        return limit_at - self._clock.monotonic()
 
     def report_stall(self):
         self.reports += 1
@@ -184,6 +185,22 @@
     asyncio.run(scenario())
 
 
+# Guards against a stream that stays on a dead runner for the limit of its first
+# event, because its stall was checked by that limit alone.
+def test_limit_between_events_holds_from_the_first_event_on(lines):
+    async def scenario():
+        setting = Setting('new')
+        setting.handover.close()
+        setting.stream.stall_timeout_s = 10 * WAIT_S
+        setting.handover.start()
+        setting.stream.stall_timeout_s = LIMIT_S
+        setting.progress()
+        await setting.wait_moved()
+        setting.handover.close()
+
+    asyncio.run(scenario())
+
+
 def test_refused_ask_is_repeated(lines):
     async def scenario():
         setting = Setting(Overloaded('full'), Overloaded('full'), 'new')
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -408,3 +408,19 @@
             assert counts[1] <= 1, counts
 
     asyncio.run(scenario())
+
+
+# Guards against a stream that is cut because the runner to which it has moved
+# refuses it, although it was run once only.
+@pytest.mark.parametrize('attempts', [2, 3])
+def test_refusal_of_the_next_runner_spends_no_attempt(attempts):
+    async def scenario():
+        async with _run_engines(8, 8, attempts=attempts) as site:
+            pausing, other = site.runners['llm-0'], site.runners['llm-1']
+            pausing.traits.pause_after = 2
+            pausing.traits.pause_s = DEAD_S
+            other.behaviours.extend(['full'] * 2)
+            (body,) = await asyncio.gather(*_start_streams(site, 1))
+            assert body == BODY
+
+    asyncio.run(scenario())
--- a/tests/test_silent_runner_own.py
+++ b/tests/test_silent_runner_own.py
@@ -280,3 +280,22 @@
             assert _count_runs(cluster) == 4
 
     asyncio.run(scenario())
+
+
+# Guards against chats that may not be continued elsewhere and are given up
+# while their engine is silent.
+@pytest.mark.parametrize('after', [0, 2])
+@pytest.mark.parametrize(
+    'fields', [{'idempotent': False}, {'resumable': False}], ids=str
+)
+def test_chat_that_may_not_move_is_whole(root_json, after, fields):
+    root_json['classes']['quick'].update(fields)
+
+    async def scenario():
+        async with _open_engines(root_json, 2, 8) as cluster:
+            for engine in cluster.engines.values():
+                _pause(engine, after, PAUSE_S)
+            texts = await asyncio.gather(*_start_chats(cluster, 4))
+            assert texts == [expect_text(BODY)] * 4
+
+    asyncio.run(scenario())
