--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -77,7 +77,7 @@
         )
         self.resumed_streams = self._add_counter(
             'resumed_streams',
-            'Streams taken up again, by how their version was known.',
+            'Streams that callers resumed, by how their version was known.',
             'source',
         )
         self.claims = self._add_counter(
--- a/src/anvilhall/origins.py
+++ b/src/anvilhall/origins.py
@@ -235,7 +235,9 @@
                 )
         except (PlatformError, TimeoutError) as error:
             raise VersionUnknown(
-                f'the store can not be asked for the stream: {error}', _RETRY_S
+                'the store can not be asked for the stream: '
+                f'{str(error) or "no answer in time"}',
+                _RETRY_S,
             ) from error
         if origin is None:
             raise VersionUnknown(
