--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -24,11 +25,19 @@
 START_S = 20
 
 
+#: Ports below those that the system gives to outgoing connections: one that is
+#: free when it is chosen is still free when an instance starts.
+_PORTS = (12_000, 32_000)
+_rng = random.SystemRandom()
+
+
 def find_port():
     """Return a port of the loopback interface that is free."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    while True:
+        port = _rng.randrange(*_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 def render(template, fields):
