--- a/review/harness/server.py
+++ b/review/harness/server.py
@@ -26,7 +26,7 @@
         reader and writer, and returns whether the connection is kept.
     """
 
-    def __init__(self, name, service, store, record, handle, slots=64):
+    def __init__(self, name, service, store, record, handle, slots=64, version='v1'):
         self.name = name
         self.service = service
         self.record = record
@@ -37,6 +37,10 @@
         self._slots = slots
         self._sequence = 0
         self._server = None
+        self._writers = set()
+        #: Version of its software, and the Unix milliseconds of its start.
+        self.version = version
+        self.born = int(time.time() * 1000)
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -51,12 +55,12 @@
             'service': self.service,
             'address': self.address,
             'zone': 'plovdiv-a',
-            'version': 'v1',
+            'version': self.version,
             'slots': self._slots,
             'state': state,
             'cold_left_ms': 0,
             'seq': self._sequence,
-            'born': int(time.time() * 1000),
+            'born': self.born,
         }
         self._store.put('keyed.servers', self.name, json.dumps(entry).encode())
 
@@ -64,13 +68,27 @@
         if self._server:
             self._server.close()
 
+    async def restart(self, version, away_s):
+        """Crash, and start again under the same name and address."""
+        self.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self.version = version
+        self.born = int(time.time() * 1000)
+        host, port = self.address.split(':')
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.register()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while await self._read(reader, writer):
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _read(self, reader, writer):
