--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -29,12 +29,16 @@
 #: free when it is chosen is still free when an instance starts.
 _PORTS = (12_000, 32_000)
 _rng = random.SystemRandom()
+_given = set()
 
 
 def find_port():
-    """Return a port of the loopback interface that is free."""
+    """Return a port of the loopback interface that is free, each once."""
     while True:
         port = _rng.randrange(*_PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(('127.0.0.1', port))
             return port
@@ -134,16 +138,23 @@
 
     def add(self, name, zone='plovdiv-a', **bounds):
         """Configure an instance; :meth:`launch` starts it."""
-        front, ready, peers = (find_port() for _ in range(3))
+        path = pathlib.Path(self._folder.name) / f'{name}.json'
+        self.instances[name] = Instance(name, zone, bounds, path)
+        self._configure(self.instances[name])
+        return self.instances[name]
+
+    def _configure(self, instance):
+        """Choose the ports of an instance and write its settings."""
+        instance.front, instance.ready, peers = (find_port() for _ in range(3))
         fields = {
-            'node_name': name,
-            'zone': zone,
+            'node_name': instance.name,
+            'zone': instance.zone,
             'region': 'plovdiv',
             'ip': '127.0.0.1',
             'port_range': [peers, peers + 15],
             'listen': {
-                'front': f'127.0.0.1:{front}',
-                'ready': f'127.0.0.1:{ready}',
+                'front': f'127.0.0.1:{instance.front}',
+                'ready': f'127.0.0.1:{instance.ready}',
             },
             'limits': {'cpu_share': 0.537, 'cores': 2},
             'provider': {'address': f'127.0.0.1:{self.store.port}'},
@@ -151,13 +162,10 @@
                 'retry_budget_ratio': 0.2,
                 'retry_slack': 54,
                 'grace_s': 8,
-                **bounds,
+                **instance.bounds,
             },
         }
-        path = pathlib.Path(self._folder.name) / f'{name}.json'
-        path.write_text(render(self._template, fields))
-        self.instances[name] = Instance(name, front, ready, path)
-        return self.instances[name]
+        instance.settings.write_text(render(self._template, fields))
 
     def launch(self, name):
         """Start the process of an instance with the command of the deploy file."""
@@ -181,6 +189,11 @@
         instance = self.instances[name]
         async with asyncio.timeout(START_S):
             while not await instance.is_ready():
+                if instance.process.poll() is not None:
+                    # Another program has taken one of its ports.
+                    self.record.note('platform:', name, 'did not start; it gets other ports')
+                    self._configure(instance)
+                    self.launch(name)
                 await asyncio.sleep(0.1)
         self.record.note('platform:', name, 'is ready')
 
@@ -203,11 +216,13 @@
 class Instance:
     """One instance: its ports, settings file and process."""
 
-    def __init__(self, name, front, ready, settings):
+    def __init__(self, name, zone, bounds, settings):
         self.name = name
-        self.front = front
-        self.ready = ready
+        self.zone = zone
+        self.bounds = bounds
         self.settings = settings
+        self.front = 0
+        self.ready = 0
         self.process = None
 
     async def is_ready(self):
