--- a/review/harness/main.py
+++ b/review/harness/main.py
@@ -1,4 +1,6 @@
-"""Runs a case: ``python3 -m harness.main FOLDER``.
+"""Runs a case: ``python3 -m harness.main FOLDER trouble|calm``.
+
+``calm`` leaves the disruption out; ``run.sh`` chooses it by ``TROUBLE=0``.
 
 The folder has ``case.py`` with a coroutine ``play(site, record, trouble)``,
 which returns the ways in which the rule was broken. Exit codes: 1 if it was, 0
@@ -7,7 +9,6 @@
 
 import asyncio
 import importlib.util
-import os
 import pathlib
 import sys
 import traceback
@@ -26,10 +27,9 @@
         site.close()
 
 
-def run(folder):
-    """Run the case and return the exit code."""
+def run(folder, *, trouble):
+    """Run the case, with its disruption or without, and return the exit code."""
     record = Record(folder)
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note('case', folder.name, 'with' if trouble else 'without', 'the disruption')
     try:
         spec = importlib.util.spec_from_file_location('case', folder / 'case.py')
@@ -49,4 +49,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run(pathlib.Path(sys.argv[1]).resolve()))
+    folder, kind = sys.argv[1:]
+    sys.exit(run(pathlib.Path(folder).resolve(), trouble=kind != 'calm'))
