Release grants that arrive after their wait was cancelled

Cause: the future of a wait is cancelled at once, but its ask is withdrawn only when its task runs. A grant in between made PendingGrant.handle_grant raise InvalidStateError in the middle of the broker's step; the broker counted the request as running for good. The same held if Broker.ask raised: the ask was not withdrawn.

Change: a grant that arrives late is kept and released by the task of the wait, which withdraws on any end but a returned grant.

--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -31,19 +31,28 @@
 class PendingGrant:
     """Receives the broker's answers to one ask as a future."""
 
-    __slots__ = ('_transfer', 'future', 'paused')
+    __slots__ = ('_grant', '_task', '_transfer', 'future', 'paused')
 
     def __init__(self) -> None:
         """Create an unresolved future on the running loop."""
         loop = asyncio.get_running_loop()
         self.future: asyncio.Future[Grant] = loop.create_future()
+        #: Grant that has arrived, also if its caller has left before.
+        self._grant: Grant | None = None
+        #: Task of the request, once it waits.
+        self._task: asyncio.Task[None] | None = None
         self._transfer: Transfer | None = None
         #: Whether the owner has preempted the granted attempt.
         self.paused = False
 
     def handle_grant(self, grant: Grant) -> None:
-        """Resolve the future with a grant."""
-        self.future.set_result(grant)
+        """Resolve the future with a grant, unless the wait is cancelled.
+
+        The task of a cancelled wait releases the grant when it runs.
+        """
+        self._grant = grant
+        if not self.future.done():
+            self.future.set_result(grant)
 
     def handle_refusal(self, error: RequestRefused) -> None:
         """Resolve the future with an error."""
@@ -56,6 +65,10 @@
             self.paused = True
             self._transfer.abort()
 
+    def is_abandoned(self) -> bool:
+        """Return whether the task of the request has ended."""
+        return self._task is not None and self._task.done()
+
     def abort_on_pause(self, transfer: Transfer) -> None:
         """Set the transfer to abort when the owner preempts the attempt."""
         self._transfer = transfer
@@ -64,27 +77,33 @@
         """Request a grant and return it; the caller must release it.
 
         A grant that has arrived already is returned without a request. If the
-        wait is cancelled, the request is withdrawn, and a grant that
+        wait ends in any other way, the request is withdrawn, and a grant that
         has arrived is released.
 
         :raises RequestRefused: if the grant is refused.
         """
-        if not self.future.done():
-            broker.ask(ask, self)
+        self._task = asyncio.current_task()
+        returned = False
         try:
-            return await self.future
-        except asyncio.CancelledError:
-            self.withdraw(broker, ask)
-            raise
+            if not self.future.done():
+                broker.ask(ask, self)
+            grant = await self.future
+            returned = True
+        finally:
+            if not returned:
+                self.withdraw(broker, ask)
+        return grant
 
     def withdraw(self, broker: Broker, ask: Ask) -> None:
         """Withdraw the request, and release a grant that has arrived."""
         broker.withdraw(ask.request_id)
-        if self.future.done() and not self.future.cancelled():
+        grant = self._grant
+        if grant:
+            self._grant = None
             broker.release(
                 Release(
-                    pool=ask.pool,
-                    request_id=ask.request_id,
+                    pool=grant.pool,
+                    request_id=grant.request_id,
                     served=False,
                 ),
             )
