Handle answers of shards after the step in which they arise

Cause: shards, brokers and handlers of grants called each other from within loops over their state. A release in Broker._retarget_requests was granted on by the fallback at once, and the grant changed the dictionary of the loop; the exception left out all later steps of the change. Slots were also left taken by releases that were lost with a link, by grants lost within a second of a link's return, and by requests that an inventory reported while they were queued.

Change: core.outbox queues callbacks and calls them after the outermost step; a failed one is logged and counted and keeps none of the others from its call. Owners ask instances that were silent about a grant for five seconds which ones they still hold, and free the others; the broker frees grants whose request has ended.

Ruled out: copying the collections before each loop. It hides the exception and leaves half-made decisions visible to callbacks.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -1,9 +1,12 @@
 """Tracks this instance's requests for grants and the owner that has each one.
 
 Performs no I/O: messages to other instances are passed to a callback, and
-answers are passed to the request's :class:`GrantHandler`.
+answers are passed to the request's :class:`GrantHandler`. Each public method is
+one step: what it makes the shards and handlers do follows when it has ended
+(see :mod:`anvilhall.core.outbox`).
 """
 
+import functools
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,6 +21,8 @@
     Ask,
     Grant,
     Held,
+    HeldAsk,
+    HeldList,
     Inventory,
     Progress,
     Queued,
@@ -25,7 +30,13 @@
     Refusal,
     Release,
 )
-from anvilhall.core.owner import NOT_OWNER, Owner, OwnerMessage
+from anvilhall.core.outbox import Outbox
+from anvilhall.core.owner import (
+    NOT_OWNER,
+    Owner,
+    OwnerMessage,
+    RequesterMessage,
+)
 from anvilhall.core.policies import DEFAULT_POLICY
 from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.reads import RecentPrompts
@@ -43,7 +54,7 @@
 )
 
 #: Sends a message to another instance; raises :exc:`PeerUnreachable`.
-SendRequest = Callable[[str, Ask | Progress | Release | Inventory], None]
+SendRequest = Callable[[str, RequesterMessage], None]
 #: Sends an owned shard's answer to another instance; drops it if there is no
 #: link.
 SendAnswer = Callable[[str, OwnerMessage], None]
@@ -70,6 +81,9 @@
     def handle_pause(self) -> None:
         """Handle the owner's request to free the runner's slot."""
 
+    def is_abandoned(self) -> bool:
+        """Return whether the request has ended, so that it needs no grant."""
+
 
 class _Pending:
     """A request without a grant or refusal."""
@@ -105,6 +119,15 @@
         self.ask = msgspec.structs.replace(self.ask, deadline_s=left_s)
         self.asked_at = now
 
+    def measure_silence_s(self, instance: str, now: float) -> float:
+        """Return the seconds for which another instance has not answered.
+
+        :param instance: the instance that asks, whose own shards always answer.
+        """
+        if self.queued or self.target in {_FALLBACK, instance}:
+            return 0.0
+        return now - self.asked_at
+
     def detach(self) -> None:
         """Clear the target, so that the next tick sends the request again."""
         self.target = None
@@ -162,7 +185,6 @@
     __slots__ = (
         '_clock',
         '_directory',
-        '_fallback',
         '_forward',
         '_losses',
         '_name',
@@ -171,8 +193,10 @@
         '_prompts',
         '_running',
         '_send',
+        'fallback',
         'limits',
         'on_wait',
+        'outbox',
         'owner',
         'quarantine',
         'verification',
@@ -206,6 +230,8 @@
         self.verification = Verification(directory)
         #: Prompts that are refused, whoever owns the shards.
         self.quarantine = Quarantine()
+        #: Answers of the shards that have not been handled yet.
+        self.outbox = Outbox()
         #: Called when a new request was not answered at once.
         self.on_wait: Callable[[], None] = _do_nothing
         #: Shards that this instance owns. Answers to its own requests are
@@ -216,14 +242,17 @@
             policy,
             timeouts.settling_s,
             quarantine=self.quarantine,
+            outbox=self.outbox,
         )
-        self._fallback = Fallback(
+        #: Shards by which this instance decides while an owner is silent.
+        self.fallback = Fallback(
             clock,
-            lambda _, message: self.handle_answer(_FALLBACK, message),
+            lambda _, message: self._handle_answer(_FALLBACK, message),
             policy,
             timeouts,
             name,
             self.quarantine,
+            self.outbox,
         )
 
     @property
@@ -240,7 +269,8 @@
         """Request a grant; the handler gets one grant or one refusal."""
         pending = _Pending(ask, handler, self._clock.monotonic())
         self._pending[ask.request_id] = pending
-        self._send_ask(pending)
+        with self.outbox.run_step():
+            self._send_ask(pending)
         if ask.request_id in self._pending:
             self.on_wait()
 
@@ -248,7 +278,7 @@
         """Withdraw a waiting request; its handler is not called any more."""
         pending = self._pending.pop(request_id, None)
         if pending:
-            self._send_withdrawal(pending)
+            self._report(pending.target, _build_release(pending.ask))
 
     def note_progress(self, progress: Progress) -> None:
         """Report the output of a running request to its owner."""
@@ -270,36 +300,47 @@
             self._report(running.target, release)
 
     def handle_answer(self, sender: str, message: OwnerMessage) -> None:
-        """Handle an owner's message about a request."""
-        if isinstance(message, Grant):
-            self._handle_grant(sender, message)
-        elif isinstance(message, Refusal):
-            self._handle_refusal(sender, message)
-        elif isinstance(message, Queued):
-            self._handle_queued(sender, message)
-        else:
-            running = self._running.get(message.request_id)
-            if running:
-                running.handler.handle_pause()
+        """Handle an owner's message about a request, after a current step."""
+        self.outbox.post(
+            functools.partial(self._handle_answer, sender, message)
+        )
 
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings."""
-        self.owner.set_tree(tree)
-        self._fallback.owner.set_tree(tree)
-        self.refresh(tree)
+        with self.outbox.run_step():
+            self.owner.set_tree(tree)
+            self.fallback.owner.set_tree(tree)
+            self.refresh(tree)
 
     def refresh(self, tree: Tree) -> None:
         """Apply a change of live instances, runners or settings.
 
         Takes over or resigns shards, and moves requests to the new owners.
         """
-        for pool in tree.pools:
-            runners = self._directory.list_runners(pool)
-            self.owner.set_endpoints(pool, runners)
-            self._fallback.owner.set_endpoints(pool, runners)
-            self._update_owner(pool)
-        self._retarget_requests()
-        self.tick()
+        with self.outbox.run_step():
+            for pool in tree.pools:
+                runners = self._directory.list_runners(pool)
+                self.owner.set_endpoints(pool, runners)
+                self.fallback.owner.set_endpoints(pool, runners)
+                self._update_owner(pool)
+            self._retarget_requests()
+            self.tick()
+
+    def reclaim_abandoned(self) -> list[str]:
+        """Release the grants of requests that ended without a release.
+
+        Only a fault of this program leaves such a grant behind.
+
+        :return: identifiers of the grants.
+        """
+        abandoned = [
+            _build_release(running.ask)
+            for running in self._running.values()
+            if running.handler.is_abandoned()
+        ]
+        for release in abandoned:
+            self.release(release)
+        return [each.request_id for each in abandoned]
 
     def list_inventory(self, pool: str) -> Inventory:
         """Return this instance's running requests in the local region's shard.
@@ -350,26 +391,28 @@
 
     def tick(self) -> None:
         """Apply timeouts and send the requests that have no target."""
-        self.owner.tick()
-        self._fallback.owner.tick()
+        with self.outbox.run_step():
+            self.owner.tick()
+            self.fallback.owner.tick()
+            self._check_pending()
+
+    def _check_pending(self) -> None:
         now = self._clock.monotonic()
-        for pending in list(self._pending.values()):
+        for pending in self._pending.values():
             if pending.target is None:
                 pending.renew(now)
                 self._send_ask(pending)
-            elif self._is_unanswered(pending, now):
-                self._fallback.mark_unresponsive(pending.target)
-                self._send_withdrawal(pending)
+            elif self.fallback.is_overdue(
+                pending.measure_silence_s(self._name, now)
+            ):
+                self.fallback.mark_unresponsive(pending.target)
+                self._report(pending.target, _build_release(pending.ask))
                 pending.renew(now)
                 self._ask_fallback(pending)
             elif now - pending.asked_at >= SPILL_AFTER_S:
                 pending.asked_at = now
                 self._spill(pending)
 
-    def mark_responsive(self, instance: str) -> None:
-        """Resume sending requests to an instance that has sent a message."""
-        self._fallback.mark_responsive(instance)
-
     def handle_link_down(self, instance: str) -> None:
         """Clear the target of requests that wait at an unreachable instance.
 
@@ -379,6 +422,21 @@
             if pending.target == instance:
                 pending.detach()
 
+    def _handle_answer(self, sender: str, message: OwnerMessage) -> None:
+        if isinstance(message, Grant):
+            self._handle_grant(sender, message)
+        elif isinstance(message, Refusal):
+            self._handle_refusal(sender, message)
+        elif isinstance(message, Queued):
+            self._handle_queued(sender, message)
+        elif isinstance(message, HeldAsk):
+            held = _list_held(self._running, sender, message.pool)
+            self._report(sender, held)
+        else:
+            running = self._running.get(message.request_id)
+            if running:
+                running.handler.handle_pause()
+
     def _send_ask(self, pending: _Pending) -> None:
         pool = pending.ask.pool
         owner = self._directory.find_owner(pool)
@@ -390,7 +448,7 @@
             pending.target = owner
             self.owner.handle(self._name, pending.ask)
             return
-        if self._fallback.is_unresponsive(owner):
+        if self.fallback.is_unresponsive(owner):
             self._ask_fallback(pending)
             return
         try:
@@ -404,7 +462,7 @@
         share = 1.0 / max(1, len(self._directory.live))
         pending.target = _FALLBACK
         pending.queued = False
-        self._fallback.ask(pending.ask, share, self.limits.list_limits())
+        self.fallback.ask(pending.ask, share, self.limits.list_limits())
 
     def _spill(self, pending: _Pending) -> bool:
         """Send the request to the next reachable owner in another region.
@@ -430,11 +488,6 @@
             return True
         return False
 
-    def _is_unanswered(self, pending: _Pending, now: float) -> bool:
-        if pending.queued or pending.target in {_FALLBACK, self._name}:
-            return False
-        return self._fallback.is_overdue(now - pending.asked_at)
-
     def _handle_queued(self, sender: str, queued: Queued) -> None:
         pending = self._pending.get(queued.request_id)
         if pending and pending.target == sender:
@@ -455,7 +508,7 @@
             self._pending[grant.request_id] = pending
             return
         if pending.target != sender:
-            self._send_withdrawal(pending)
+            self._report(pending.target, _build_release(pending.ask))
         start = name_start(grant.runner, self._directory.get_born(grant.runner))
         self._running[grant.request_id] = _Running(
             pending, grant, sender, start
@@ -475,7 +528,7 @@
             # other instances may still name the sender as owner. The next tick
             # sends the request again, to any region.
             pending.foreign_owners = None
-            self._fallback.mark_not_owner(sender)
+            self.fallback.mark_not_owner(sender)
             return
         remote = sender not in {self._name, _FALLBACK}
         if remote and refusal.code == UnknownClass.code:
@@ -485,29 +538,32 @@
         self._refuse(pending, _build_error(refusal))
 
     def _refuse(self, pending: _Pending, error: RequestRefused) -> None:
-        self._pending.pop(pending.ask.request_id, None)
-        pending.handler.handle_refusal(error)
+        self.outbox.post(
+            functools.partial(self._finish_refusal, pending, error)
+        )
 
-    def _send_withdrawal(self, pending: _Pending) -> None:
-        if pending.target is None:
-            return
-        self._report(pending.target, _build_release(pending.ask))
+    def _finish_refusal(self, pending: _Pending, error: RequestRefused) -> None:
+        request_id = pending.ask.request_id
+        if self._pending.get(request_id) is pending:
+            self._pending.pop(request_id)
+            pending.handler.handle_refusal(error)
 
-    def _report(self, target: str, message: Progress | Release) -> None:
+    def _report(
+        self, target: str | None, message: Progress | Release | HeldList
+    ) -> None:
+        if target is None:
+            return
         if target == _FALLBACK:
-            self._fallback.report(message)
+            self.fallback.report(message)
         elif target == self._name:
             self.owner.handle(self._name, message)
         else:
-            self._report_remote(target, message)
-
-    def _report_remote(self, target: str, message: Progress | Release) -> None:
-        try:
-            self._send(target, message)
-        except PeerUnreachable:
-            # The owner frees the slot when this instance times out there, and
-            # gets the running requests from the inventory after a reconnect.
-            return
+            try:
+                self._send(target, message)
+            except PeerUnreachable:
+                # The owner frees the slot when this instance times out there,
+                # or asks which grants are held once a link is up again.
+                return
 
     def _update_owner(self, pool: str) -> None:
         owner = self._directory.find_owner(pool)
@@ -532,16 +588,28 @@
         for pending in self._pending.values():
             owner = self._directory.find_owner(pending.ask.pool)
             if owner and pending.target not in {owner, None}:
-                self._send_withdrawal(pending)
+                self._report(pending.target, _build_release(pending.ask))
                 pending.detach()
 
     def _route_answer(self, instance: str, message: OwnerMessage) -> None:
         if instance == self._name:
-            self.handle_answer(self._name, message)
+            self._handle_answer(self._name, message)
         else:
             self._forward(instance, message)
 
 
+def _list_held(
+    requests: dict[str, _Running], owner: str, pool: str
+) -> HeldList:
+    """Return the requests of a pool that hold a grant of an owner."""
+    request_ids = (
+        request_id
+        for request_id, running in requests.items()
+        if running.target == owner and running.ask.pool == pool
+    )
+    return HeldList(pool, tuple(request_ids))
+
+
 def _runs_in_local_region(running: _Running, directory: Directory) -> bool:
     """Return whether a request runs on a runner of the local region."""
     runners = directory.list_runners(running.ask.pool)
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -4,7 +4,8 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
-from anvilhall.core.messages import Ask, Progress, Release
+from anvilhall.core.messages import Ask, HeldList, Progress, Release
+from anvilhall.core.outbox import Outbox
 from anvilhall.core.owner import Deliver, Owner
 from anvilhall.core.quarantine import Quarantine
 
@@ -37,6 +38,7 @@
         timeouts: OwnerTimeouts,
         name: str,
         quarantine: Quarantine,
+        outbox: Outbox,
     ) -> None:
         """Create the fallback without shards.
 
@@ -44,6 +46,7 @@
             which runners are filled: the order differs between instances,
             because they do not know of each other's grants.
         :param quarantine: prompts to refuse. Only owners probe them.
+        :param outbox: queue of the messages to deliver.
         """
         self._name = name
         self._timeouts = timeouts
@@ -55,6 +58,7 @@
             salt=name,
             quarantine=quarantine,
             may_probe=False,
+            outbox=outbox,
         )
 
     def ask(
@@ -70,8 +74,8 @@
         self.owner.adopt_limits(limits)
         self.owner.handle(self._name, ask)
 
-    def report(self, message: Progress | Release) -> None:
-        """Handle progress or release of a request in a local shard."""
+    def report(self, message: Progress | Release | HeldList) -> None:
+        """Handle a report on requests in a local shard."""
         self.owner.handle(self._name, message)
 
     def is_overdue(self, waited_s: float) -> bool:
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -188,6 +188,19 @@
     limits: tuple[tuple[str, float], ...] = ()
 
 
+class HeldAsk(_Message, frozen=True):
+    """Asks an instance which of the owner's grants it still holds."""
+
+    pool: str
+
+
+class HeldList(_Message, frozen=True):
+    """Lists all requests that hold a grant of the receiving owner."""
+
+    pool: str
+    request_ids: tuple[str, ...]
+
+
 class Challenge(_Message, frozen=True):
     """First message on a link, sent by the accepting side."""
 
@@ -346,7 +359,16 @@
 
 #: Messages about requests, between an entry instance and an owner.
 RequestMessage = (
-    Ask | Grant | Refusal | Queued | Pause | Progress | Release | Inventory
+    Ask
+    | Grant
+    | Refusal
+    | Queued
+    | Pause
+    | Progress
+    | Release
+    | Inventory
+    | HeldAsk
+    | HeldList
 )
 #: Messages that replicate state between instances.
 StateMessage = (
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -4,6 +4,7 @@
 construction.
 """
 
+import functools
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -13,6 +14,8 @@
 from anvilhall.core.messages import (
     Ask,
     Grant,
+    HeldAsk,
+    HeldList,
     Inventory,
     Pause,
     Progress,
@@ -20,6 +23,7 @@
     Refusal,
     Release,
 )
+from anvilhall.core.outbox import Outbox
 from anvilhall.core.policies import DEFAULT_POLICY, POLICIES
 from anvilhall.core.quarantine import Quarantine
 from anvilhall.core.roster import RunnerEndpoint
@@ -31,7 +35,13 @@
 #: Code of a refusal by an instance that does not own the shard.
 NOT_OWNER = 'not_owner'
 
-OwnerMessage = Grant | Refusal | Queued | Pause
+#: Seconds without a report of a running request after which its instance is
+#: asked whether it still holds the grant, and between two such checks.
+_SILENT_S = 5.0
+_CHECK_INTERVAL_S = 1.0
+
+OwnerMessage = Grant | Refusal | Queued | Pause | HeldAsk
+RequesterMessage = Ask | Progress | Release | Inventory | HeldList
 Deliver = Callable[[str, OwnerMessage], None]
 
 
@@ -56,19 +66,23 @@
     """Owned shards by pool name.
 
     :param clock: source of time.
-    :param deliver: sends a message to an instance, this one included.
+    :param deliver: sends a message to an instance, this one included; called
+        after the step in which the message arises.
     :param policy: name of the scheduling policy.
     :param settling_s: seconds that a new owner waits for peers' inventories
         before it grants slots.
     :param salt: seed of the order in which runners are filled.
     :param quarantine: prompts to refuse.
     :param may_probe: whether the shards let through probes of them.
+    :param outbox: queue of the messages; one of its own by default.
     """
 
     __slots__ = (
+        '_checked_at',
         '_clock',
         '_deliver',
         '_may_probe',
+        '_outbox',
         '_owned',
         '_policy',
         '_quarantine',
@@ -76,6 +90,7 @@
         '_endpoints',
         '_settling_s',
         '_tree',
+        'on_reclaim',
     )
 
     def __init__(
@@ -88,8 +103,10 @@
         quarantine: Quarantine | None = None,
         *,
         may_probe: bool = True,
+        outbox: Outbox | None = None,
     ) -> None:
         """Start without owned shards."""
+        self._outbox = outbox or Outbox()
         self._salt = salt
         self._quarantine = quarantine or Quarantine()
         self._may_probe = may_probe
@@ -100,6 +117,11 @@
         self._owned: dict[str, _OwnedShard] = {}
         self._endpoints: dict[str, tuple[RunnerEndpoint, ...]] = {}
         self._tree = Tree({})
+        #: Monotonic time of the last check for slots that nobody holds.
+        self._checked_at = clock.monotonic()
+        #: Called with the pool, the instance and the requests if slots were
+        #: freed that the instance does not hold.
+        self.on_reclaim: Callable[[str, str, list[str]], None] = _ignore
 
     @property
     def pools(self) -> frozenset[str]:
@@ -119,11 +141,12 @@
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings; resign shards whose pool was removed."""
         self._tree = tree
-        for pool, owned in list(self._owned.items()):
-            if pool in tree.pools:
-                owned.shard.set_tree(tree)
-            else:
-                self.resign(pool)
+        with self._outbox.run_step():
+            for pool, owned in list(self._owned.items()):
+                if pool in tree.pools:
+                    owned.shard.set_tree(tree)
+                else:
+                    self.resign(pool)
 
     def set_endpoints(
         self, pool: str, endpoints: Iterable[RunnerEndpoint]
@@ -132,8 +155,9 @@
         self._endpoints[pool] = tuple(endpoints)
         owned = self._owned.get(pool)
         if owned:
-            owned.shard.set_runners(self._endpoints[pool])
-            self._dispatch(owned)
+            with self._outbox.run_step():
+                owned.shard.set_runners(self._endpoints[pool])
+                self._dispatch(owned)
 
     def take_over(
         self,
@@ -177,13 +201,14 @@
         owned = self._owned.pop(pool, None)
         if owned is None:
             return
-        for sender, request_id in owned.shard.list_waiting():
-            self._refuse_not_owned(sender, request_id)
+        with self._outbox.run_step():
+            for sender, request_id in owned.shard.list_waiting():
+                self._refuse_not_owned(sender, request_id)
 
     def handle(
         self,
         sender: str,
-        message: Ask | Progress | Release | Inventory,
+        message: RequesterMessage,
     ) -> None:
         """Apply a message of an entry instance and dispatch its shard.
 
@@ -194,12 +219,13 @@
             if isinstance(message, Ask):
                 self._refuse_not_owned(sender, message.request_id)
             return
-        self._apply(owned, sender, message)
-        self._dispatch(owned)
-        if isinstance(message, Ask) and message.at_once:
-            self._refuse_unless_granted(owned, sender, message.request_id)
-        elif isinstance(message, Ask):
-            self._confirm_queued(owned, sender, message.request_id)
+        with self._outbox.run_step():
+            self._apply(owned, sender, message)
+            self._dispatch(owned)
+            if isinstance(message, Ask) and message.at_once:
+                self._refuse_unless_granted(owned, sender, message.request_id)
+            elif isinstance(message, Ask):
+                self._confirm_queued(owned, sender, message.request_id)
 
     def adopt_limits(self, limits: Iterable[tuple[str, float]]) -> None:
         """Apply limits that runners have advertised to this instance."""
@@ -209,21 +235,38 @@
 
     def drop_sender(self, sender: str) -> None:
         """Release all requests of an instance that left or failed."""
-        for owned in self._owned.values():
-            owned.awaited_peers.discard(sender)
-            owned.shard.drop_sender(sender)
-            self._dispatch(owned)
+        with self._outbox.run_step():
+            for owned in self._owned.values():
+                owned.awaited_peers.discard(sender)
+                owned.shard.drop_sender(sender)
+                self._dispatch(owned)
 
     def tick(self) -> None:
         """Dispatch all shards: expiry and probes depend on time alone."""
-        for owned in self._owned.values():
-            self._dispatch(owned)
+        with self._outbox.run_step():
+            for owned in self._owned.values():
+                self._dispatch(owned)
+            self._check_held()
+
+    def _check_held(self) -> None:
+        """Ask instances that are silent which grants they still hold.
+
+        A release may be lost with its link, or because of a fault of the
+        instance.
+        """
+        now = self._clock.monotonic()
+        if now - self._checked_at < _CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
+        for pool, owned in self._owned.items():
+            for sender in owned.shard.list_silent_senders(now - _SILENT_S):
+                self._post(sender, HeldAsk(pool))
 
     def _apply(
         self,
         owned: _OwnedShard,
         sender: str,
-        message: Ask | Progress | Release | Inventory,
+        message: RequesterMessage,
     ) -> None:
         now = self._clock.monotonic()
         shard = owned.shard
@@ -233,6 +276,10 @@
             shard.note_progress(message, now)
         elif isinstance(message, Release):
             shard.release(message, now)
+        elif isinstance(message, HeldList):
+            ended = shard.keep_only(sender, message.request_ids, now)
+            if ended:
+                self.on_reclaim(message.pool, sender, ended)
         else:
             owned.awaited_peers.discard(sender)
             _adopt_inventory(shard, sender, message, now)
@@ -243,8 +290,12 @@
             self._send(owned.shard.dispatch(now, self._clock.now()))
 
     def _send(self, actions: Iterable[Action]) -> None:
-        for action in actions:
-            self._deliver(action.instance, action.message)
+        with self._outbox.run_step():
+            for action in actions:
+                self._post(action.instance, action.message)
+
+    def _post(self, instance: str, message: OwnerMessage) -> None:
+        self._outbox.post(functools.partial(self._deliver, instance, message))
 
     def _refuse_unless_granted(
         self,
@@ -259,7 +310,7 @@
             code=Overloaded.code,
             reason='no slot is free, and the request may not wait here',
         )
-        self._deliver(sender, refusal)
+        self._post(sender, refusal)
 
     def _confirm_queued(
         self,
@@ -268,12 +319,16 @@
         request_id: str,
     ) -> None:
         if owned.shard.is_waiting(request_id):
-            self._deliver(sender, Queued(request_id))
+            self._post(sender, Queued(request_id))
 
     def _refuse_not_owned(self, sender: str, request_id: str) -> None:
         reason = 'this instance does not own the shard of the pool'
         refusal = Refusal(request_id=request_id, code=NOT_OWNER, reason=reason)
-        self._deliver(sender, refusal)
+        self._post(sender, refusal)
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing."""
 
 
 def _adopt_inventory(
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -69,11 +69,11 @@
     __slots__ = (
         '_admission',
         '_granted_tokens',
-        '_placed_at',
         '_policy',
         '_pool',
         '_pool_name',
         '_queue',
+        '_reported_at',
         '_reprefilled_tokens',
         '_senders',
         '_expired_at',
@@ -109,8 +109,9 @@
         self._admission = Admission()
         #: Entry instance of each waiting or running request, by request id.
         self._senders: dict[str, str] = {}
-        #: Monotonic time at which each running request was granted or adopted.
-        self._placed_at: dict[str, float] = {}
+        #: Monotonic time at which each running request was granted or adopted,
+        #: or its instance last reported progress.
+        self._reported_at: dict[str, float] = {}
         #: Monotonic time of the latest expiry in the queue, by tier and rank.
         self._expired_at: dict[tuple[int, int], float] = {}
         #: Requests that were asked to pause and have not been released yet.
@@ -234,6 +235,7 @@
         if found is None:
             return
         runner, assignment = found
+        self._reported_at[progress.request_id] = now
         assignment.tokens = progress.tokens
         self.roster.note_limit(runner.name, progress.requests_per_s, now)
         if progress.stalled:
@@ -291,6 +293,10 @@
         runner = self.runners.get(held.runner)
         if runner is None or held.request_id in runner.assignments:
             return
+        if held.request_id in self._senders:
+            # Another owner has granted it while it was queued here or this
+            # owner's grant was on its way.
+            self.release(_build_release(self._pool_name, held.request_id), now)
         assignment = Assignment(held.request_id, held.class_name, held.account)
         assignment.prefill_tokens = held.prompt_tokens
         assignment.uncached_tokens = held.prompt_tokens
@@ -304,7 +310,7 @@
             assignment.priority = _get_priority(settings)
             assignment.latency_targets = _build_latency_targets(settings)
         assignment.predicted_s = 1.0
-        self._placed_at[held.request_id] = now
+        self._reported_at[held.request_id] = now
         runner.adopt_assignment(assignment)
         self.screening.note_grant(held.request_id, held.parts)
         if held.tokens:
@@ -312,27 +318,40 @@
         self._senders[held.request_id] = sender
         self._admission.adopt(held)
 
+    def list_silent_senders(self, since: float) -> set[str]:
+        """Return the instances that report nothing of a request they run.
+
+        :param since: monotonic time of the last report, in seconds.
+        """
+        return {
+            self._senders[request_id]
+            for request_id, reported_at in self._reported_at.items()
+            if reported_at < since and request_id in self._senders
+        }
+
     def keep_only(
         self, sender: str, request_ids: Container[str], now: float
-    ) -> None:
+    ) -> list[str]:
         """Release the requests of an instance that it no longer runs.
 
         Their releases were lost. Grants may still be on their way to it, so
         those of the last moments are kept.
 
         :param request_ids: requests that run on the instance.
+        :return: the released ones.
         """
         oldest = now - _GRANT_TRANSIT_S
         ended = [
             assignment.request_id
             for runner in self.runners.values()
             for assignment in runner.assignments.values()
-            if self._placed_at.get(assignment.request_id, now) < oldest
+            if self._reported_at.get(assignment.request_id, now) < oldest
             and assignment.request_id not in request_ids
             and self._senders.get(assignment.request_id) == sender
         ]
         for request_id in ended:
             self.release(_build_release(self._pool_name, request_id), now)
+        return ended
 
     def adopt_read(self, read: Read) -> None:
         """Mark a prompt as cached by the runner that has read it.
@@ -404,7 +423,11 @@
             queued = self._queue.remove(request_id)
             if queued:
                 self._release_ask(queued.ask)
-                error = self._build_expiry_error(queued, now)
+                occupancy = (
+                    f'{self.running_count} of {self.roster.slots} slots '
+                    f'taken, {len(self._queue)} waiting'
+                )
+                error = _build_expiry_error(queued, now, occupancy)
                 priority = _get_priority(queued.class_settings)
                 if queued.ask.version is None and not queued.ask.moves:
                     # Runners that these may not use may be free.
@@ -439,18 +462,6 @@
                 return self._grant(queue, runner, assignment, now)
         return None
 
-    def _build_expiry_error(
-        self, queued: QueuedRequest, now: float
-    ) -> RequestRefused:
-        waited_s = now - queued.arrived_at
-        reason = (
-            f'no runner after {waited_s:.2f} s; {self.running_count} of '
-            f'{self.roster.slots} slots taken, {len(self._queue)} waiting'
-        )
-        if now >= queued.deadline_at:
-            return DeadlinePassed(reason)
-        return Overloaded(reason, _RETRY_AFTER_S)
-
     def _is_held_back(self, queue: ClassQueue, now: float) -> bool:
         """Return whether free slots are held for a higher priority.
 
@@ -475,7 +486,7 @@
     ) -> Action:
         queued = self._queue.pop(queue, now)
         runner.add_assignment(assignment, queued.ask, now)
-        self._placed_at[queued.ask.request_id] = now
+        self._reported_at[queued.ask.request_id] = now
         self.screening.note_grant(queued.ask.request_id, queued.ask.part_names)
         self._granted_tokens += queued.cost_tokens
         grant = self._build_grant(runner, assignment)
@@ -515,11 +526,21 @@
     ) -> None:
         self.paused.discard(request_id)
         self._senders.pop(request_id, None)
-        self._placed_at.pop(request_id, None)
+        self._reported_at.pop(request_id, None)
         self.screening.forget(request_id)
         self._admission.release(request_id, account, class_name)
 
 
+def _build_expiry_error(
+    queued: QueuedRequest, now: float, occupancy: str
+) -> RequestRefused:
+    waited_s = now - queued.arrived_at
+    reason = f'no runner after {waited_s:.2f} s; {occupancy}'
+    if now >= queued.deadline_at:
+        return DeadlinePassed(reason)
+    return Overloaded(reason, _RETRY_AFTER_S)
+
+
 def _count_reserved_slots(
     pool: Pool, tree: Tree, tier: int, wall: dt.datetime
 ) -> int:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -1,5 +1,6 @@
 """Connects an instance to its peers: membership, links, message dispatch."""
 
+import functools
 from collections.abc import Callable, Container, Iterable
 
 import msgspec
@@ -15,6 +16,8 @@
     Ask,
     Grant,
     Heartbeat,
+    HeldAsk,
+    HeldList,
     Hello,
     Inventory,
     Message,
@@ -26,10 +29,12 @@
     Refusal,
     Release,
 )
+from anvilhall.core.owner import RequesterMessage
 from anvilhall.core.positions import UNREAD, Position
 from anvilhall.core.retirement import Retirement
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PeerUnreachable
+from anvilhall.faults import report_internal_error, report_reclaimed
 from anvilhall.links import SLOW_HEARTBEAT_FACTOR, LinkCallbacks, Links, LinkSet
 from anvilhall.local import LocalConfig
 from anvilhall.logs import log_event
@@ -142,7 +147,11 @@
                 settling_s=config.timings.settling_s,
             ),
         )
-
+        self.broker.outbox.on_error = functools.partial(
+            report_internal_error, metrics
+        )
+        for owner in (self.broker.owner, self.broker.fallback.owner):
+            owner.on_reclaim = functools.partial(report_reclaimed, metrics)
         self.quarantine = QuarantineExchange(
             config.instance,
             self.broker.quarantine,
@@ -238,6 +247,11 @@
             self.broker.owner.drop_sender(silent)
         if news:
             self._mark_stale()
+        abandoned = self.broker.reclaim_abandoned()
+        if abandoned:
+            report_reclaimed(
+                self._metrics, '', self._config.instance, abandoned
+            )
 
     def announce_settings(self) -> None:
         """Send every linked instance the settings offset in a heartbeat now."""
@@ -263,7 +277,7 @@
     def _send_request(
         self,
         instance: str,
-        message: Ask | Progress | Release | Inventory,
+        message: RequesterMessage,
     ) -> None:
         if instance not in self._links.names:
             address = self._directory.get_address(instance)
@@ -312,12 +326,12 @@
         self._peer_regions.note_down(name, self._clock.monotonic())
 
     def _handle_message(self, sender: str, message: Message) -> None:
-        self.broker.mark_responsive(sender)
-        if isinstance(message, Ask | Progress | Release | Inventory):
+        self.broker.fallback.mark_responsive(sender)
+        if isinstance(message, Ask | Progress | Release | Inventory | HeldList):
             self.broker.owner.handle(sender, message)
             if isinstance(message, Ask) and self.broker.owner.has_waiting:
                 self.on_work()
-        elif isinstance(message, Grant | Refusal | Queued | Pause):
+        elif isinstance(message, Grant | Refusal | Queued | Pause | HeldAsk):
             self.broker.handle_answer(sender, message)
         elif isinstance(message, Heartbeat):
             self._handle_heartbeat(sender, message)
--- a/src/anvilhall/metrics.py
+++ b/src/anvilhall/metrics.py
@@ -32,6 +32,7 @@
         'grant_wait',
         'open_requests',
         'platform_failures',
+        'reclaimed_grants',
         'refusals',
         'registry',
         'requests',
@@ -128,6 +129,10 @@
             'Faults of this program that ended periodic work.',
             'kind',
         )
+        self.reclaimed_grants = self._add_counter(
+            'reclaimed_grants',
+            'Slots that were freed because no request held them.',
+        )
         self.log_lines_dropped = self._add_counter(
             'log_lines_dropped',
             'Log lines not written.',
--- a/src/anvilhall/tasks.py
+++ b/src/anvilhall/tasks.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from anvilhall.logs import log_event
+from anvilhall.faults import report_internal_error
 from anvilhall.metrics import Metrics
 
 #: Seconds before a task that has failed or returned is started again.
@@ -75,7 +75,5 @@
             try:
                 await work()
             except Exception as error:  # noqa: BLE001
-                kind = type(error).__name__
-                self._metrics.internal_errors.labels(kind).inc()
-                log_event('internal_error', error=kind, reason=str(error))
+                report_internal_error(self._metrics, error)
             await asyncio.sleep(_RESTART_S)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -122,7 +122,7 @@
 def test_owner_is_asked_again_after_a_message_from_it(requester):
     requester.ask('q1')
     requester.wait(0.07)
-    requester.broker.mark_responsive(requester.owner)
+    requester.broker.fallback.mark_responsive(requester.owner)
     requester.ask('q2')
     assert requester.list_asks() == ['q1', 'q2']
 
