Apply changes whole although one of their steps fails

Cause: the steps of a change followed each other without regard to failures, and a change of the view counted as applied before it was.

Change: run_steps() reports a failed step and runs the later ones; a view that was not applied whole is applied again by the next tick.

--- a/src/anvilhall/faults.py
+++ b/src/anvilhall/faults.py
@@ -1,5 +1,7 @@
 """Reports of faults of this program that do not end it."""
 
+from collections.abc import Callable
+
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
 
@@ -14,6 +16,19 @@
     log_event('internal_error', error=kind, reason=str(error))
 
 
+def run_steps(metrics: Metrics, *steps: Callable[[], None]) -> None:
+    """Run all steps of a change; report those that fail.
+
+    The later steps of a change are needed whether or not an earlier one has
+    failed: without them it would be applied by half.
+    """
+    for step in steps:
+        try:
+            step()
+        except Exception as error:  # noqa: BLE001
+            report_internal_error(metrics, error)
+
+
 def report_reclaimed(
     metrics: Metrics, pool: str, instance: str, request_ids: list[str]
 ) -> None:
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -261,7 +261,12 @@
         """Apply the changes since the last tick once, then run the broker."""
         if self._stale:
             self._stale = False
-            self._apply_view()
+            try:
+                self._apply_view()
+            except Exception:
+                # The next tick applies the rest of the change.
+                self._stale = True
+                raise
         self.broker.tick()
 
     def leave(self) -> None:
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -1,6 +1,7 @@
 """Entry instance of the relay, which routes requests by host and path."""
 
 import asyncio
+import functools
 import random
 
 import msgspec
@@ -29,6 +30,7 @@
 )
 from anvilhall.core.streams import Begun
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
+from anvilhall.faults import run_steps
 from anvilhall.feeds.instances import InstancesFeed, StoredState
 from anvilhall.feeds.runners import RunnersFeed
 from anvilhall.feeds.settings import SettingsFeed
@@ -270,7 +272,7 @@
         now = self._clock.monotonic()
         self.context.services.shutdown.stop_at = now + stop_s
         self._server.close_after_answers()
-        self._fleet.leave()
+        run_steps(self.metrics, self._fleet.leave)
         await asyncio.sleep(linger_s)
         # Connections that the kernel has accepted already are taken over first.
         await asyncio.sleep(0)
@@ -328,15 +330,21 @@
         return self._fleet.registry_reader == self._config.instance
 
     def _apply_settings(self, settings: RoutingSettings) -> None:
-        self._server.set_limits(settings.limits)
-        self._fleet.set_tree(settings.tree)
-        self._origins.set_settings(settings)
-        self._fleet.announce_settings()
+        run_steps(
+            self.metrics,
+            functools.partial(self._server.set_limits, settings.limits),
+            functools.partial(self._fleet.set_tree, settings.tree),
+            functools.partial(self._origins.set_settings, settings),
+            self._fleet.announce_settings,
+        )
 
     def _apply_runners(self, runners: tuple[Member, ...]) -> None:
         self._runners = runners
-        self._origins.set_runners(runners)
-        self._update_members()
+        run_steps(
+            self.metrics,
+            functools.partial(self._origins.set_runners, runners),
+            self._update_members,
+        )
 
     def _apply_instances(self, instances: tuple[Member, ...]) -> None:
         self.context.services.budgets.instances = len(instances)
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -1,6 +1,7 @@
 """One entry instance: builds its components and runs its periodic tasks."""
 
 import asyncio
+import functools
 import random
 
 from tornado.httpserver import HTTPServer
@@ -18,6 +19,7 @@
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import PlatformError
 from anvilhall.execution import Services
+from anvilhall.faults import run_steps
 from anvilhall.fleet import BuildLinks, Fleet
 from anvilhall.follower import SettingsFollower
 from anvilhall.gate import Gate
@@ -202,7 +204,7 @@
         clock = self.services.clock
         self.services.shutdown.stop_at = clock.monotonic() + _LINGER_S + drain_s
         await asyncio.sleep(_LINGER_S)
-        self._fleet.leave()
+        run_steps(self.metrics, self._fleet.leave)
         try:
             async with asyncio.timeout(drain_s):
                 await self._wait_drained()
@@ -252,8 +254,11 @@
         tree = self._follower.state.tree
         self._claims.ledger.window_s = tree.guards.claim_window_s
         self.services.retry_budget.share = tree.guards.retry_budget_share
-        self._fleet.set_tree(tree)
-        self._fleet.announce_settings()
+        run_steps(
+            self.metrics,
+            functools.partial(self._fleet.set_tree, tree),
+            self._fleet.announce_settings,
+        )
 
     async def _read_members(self) -> None:
         try:
