Accept a runner's answer that states its length twice

Cause: equal Content-Length fields were joined to one text, such as '20, 20', which the HTTP server then refused to send.

Change: equal lengths are replaced by one when the head of an answer is complete, for all readers of answers; different ones end the exchange, which callers get as 502.

Evidence: the test of equal lengths fails before the change for both kinds of route.

--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -319,11 +319,9 @@
         return int(pycurl.PREREQFUNC_ABORT)
 
     def _handle_header_line(self, line: bytes) -> int | None:
-        if self._head_complete:
-            # Trailers are ignored.
-            return None
-        if not line.endswith(b'\n'):
-            # libcurl passes on the line within which a connection has closed.
+        # Trailers are ignored, and so is the line within which a connection has
+        # closed, which libcurl passes on.
+        if self._head_complete or not line.endswith(b'\n'):
             return None
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/'):
@@ -332,9 +330,16 @@
         elif text:
             self._headers.parse_line(text)
         elif self._status >= HTTPStatus.OK:
-            self._head_complete = True
-            if self._head_sink and not self._transfer.aborted:
-                self._head_sink(self._status, self._headers)
+            return self._complete_head()
+        return None
+
+    def _complete_head(self) -> int | None:
+        """Pass the head on; return -1 to end the exchange as malformed."""
+        if not _unify_lengths(self._headers):
+            return -1
+        self._head_complete = True
+        if self._head_sink and not self._transfer.aborted:
+            self._head_sink(self._status, self._headers)
         return None
 
     def _handle_chunk(self, chunk: bytes) -> int | None:
@@ -344,6 +349,21 @@
         return None
 
 
+def _unify_lengths(headers: HTTPHeaders) -> bool:
+    """Replace equal lengths of a body by one.
+
+    :return: whether the lengths are equal.
+    """
+    lengths = {
+        length.strip()
+        for line in headers.get_list('Content-Length')
+        for length in line.split(',')
+    }
+    if lengths:
+        headers['Content-Length'] = lengths.pop()
+    return not lengths
+
+
 def _get_address(url: str) -> str:
     """Return host and port of an absolute URL."""
     return url.split('/', 3)[2]
--- a/src/anvilhall_standins/platform/runner.py
+++ b/src/anvilhall_standins/platform/runner.py
@@ -214,8 +214,9 @@
         if kind == 'stale' and writer in self._refusals:
             writer.write(self._refusals[writer])
             return True
-        if kind in {'close', 'chunked', 'bare'}:
-            writer.write(self.build_answer(request, kind)[: int(number)])
+        if kind in {'close', 'chunked', 'bare', 'equal', 'unequal'}:
+            answer = self.build_answer(request, kind)
+            writer.write(answer[: int(number or len(answer))])
             behaviour = 'end'
         sent_share = _CUT_SHARES.get(behaviour)
         if sent_share:
@@ -256,9 +257,15 @@
     ) -> bytes:
         """Return all bytes of the response to a request.
 
-        :param framing: of a plain response: ``chunked``, or ``bare`` for none.
+        :param framing: of a plain response: ``chunked``, ``bare`` for none, or
+            ``equal`` for a length that is stated twice, ``unequal`` for two
+            different ones.
         """
         body = self._build_body(request)
+        if framing in {'equal', 'unequal'}:
+            lengths = (len(body), len(body) + (framing == 'unequal'))
+            lines = (f'Content-Length: {length}' for length in lengths)
+            return self._build_head(request, *lines) + body
         if framing == 'bare':
             return self._build_head(request) + body
         if framing == 'chunked':
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -196,3 +196,27 @@
             assert count_runs(site) > size
 
     asyncio.run(scenario())
+
+
+# Guards against a connection that is closed without an answer, as the runner
+# has stated the length of its answer twice.
+@pytest.mark.parametrize('kind', ['order', 'lookup'])
+def test_answer_that_states_its_length_twice_is_passed_on(kind):
+    async def scenario():
+        async with run_site() as site:
+            site.runners['desk-0'].behaviours.append('equal')
+            reply = await site.fetch(f'/{kind}/0', method='POST', body=b'q')
+            assert reply.status == 200
+            assert reply.headers['Content-Length'] == str(len(reply.body))
+
+    asyncio.run(scenario())
+
+
+def test_answer_with_two_lengths_is_no_answer():
+    async def scenario():
+        async with run_site() as site:
+            site.runners['desk-0'].behaviours.append('unequal')
+            reply = await site.fetch('/order/0', method='POST', body=b'q')
+            assert reply.status == 502
+
+    asyncio.run(scenario())
