Bound the time in which connections close at a planned stop

The review saw a process that had not ended 11 s after SIGTERM, once, on a busy machine; its log was not kept, and it is not traced. The one wait of a stop without a bound was that for connections to close, one after the other; it has one now, and a line in the log if it is reached. Whether this was the cause is not known.

Evidence: with a connection that never closes the test hangs for its 2 s before the change, and the stop ends after it.

--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -62,6 +62,9 @@
 _STOP_MARGIN_S = 0.6
 #: Seconds for the errors of requests that are cut to reach their callers.
 _FLUSH_S = 0.1
+#: Seconds for the connections to close after that. The platform kills the
+#: process after ``_STOP_MARGIN_S``.
+_CLOSE_S = 0.3
 
 
 class Gateway:
@@ -284,7 +287,7 @@
             log_event('drain_timeout', open=self.context.open_requests)
             self._server.shut_down()
             await asyncio.sleep(_FLUSH_S)
-        await self._server.close()
+        await self._server.close(_CLOSE_S)
         self.close()
         log_event('stopped', instance=self._config.instance)
 
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -610,10 +610,17 @@
         for request in list(self._context.open):
             request.shut_down()
 
-    async def close(self) -> None:
-        """Close all connections, also those with requests in flight."""
+    async def close(self, timeout_s: float) -> None:
+        """Close all connections, also those with requests in flight.
+
+        :param timeout_s: seconds after which those still open are left.
+        """
         self._context.closed = True
-        await self._server.close_all_connections()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._server.close_all_connections()
+        except TimeoutError:
+            log_event('close_timeout', open=self._context.open_requests)
 
     def start_request(
         self,
--- a/tests/test_whole_changes.py
+++ b/tests/test_whole_changes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tornado.httpserver import HTTPServer
+
 from anvilhall.core.broker import Broker
 from anvilhall.fleet import Fleet
 from tests.site import make_manifest, run_site, wait_until
@@ -71,3 +73,20 @@
             await wait_until(lambda: len(owner.get_shard('desk').runners) == 2)
 
     asyncio.run(scenario())
+
+
+# Guards against a process that does not end after SIGTERM, as one connection
+# does not close.
+def test_stop_ends_although_a_connection_does_not_close(monkeypatch):
+    async def wait_forever(_):
+        await asyncio.Event().wait()
+
+    async def scenario():
+        async with run_site() as site:
+            monkeypatch.setattr(
+                HTTPServer, 'close_all_connections', wait_forever
+            )
+            async with asyncio.timeout(2.0):
+                await site.gateways['g1'].stop()
+
+    asyncio.run(scenario())
