--- a/src/anvilhall/daemon.py
+++ b/src/anvilhall/daemon.py
@@ -1,68 +1,16 @@
-"""The daemon: runs one entry instance until SIGTERM or SIGINT."""
+"""Entry point of the daemon; holds reload signals back while it starts."""
 
-import asyncio
-import pathlib
 import signal
-import sys
 
-import click
 
-from anvilhall.clock import Clock, SystemClock
-from anvilhall.core.settings import SettingsFaulty
-from anvilhall.gateway import Gateway
-from anvilhall.instance import Instance
-from anvilhall.local import LocalConfig
-from anvilhall.logs import LogWriter, start_logging
+def run_daemon() -> None:
+    """Run one entry instance with the settings file of the command line."""
+    # The imports take a third of a second, in which the signal's default
+    # action would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+    from anvilhall.service import run_service  # noqa: WPS433
 
-#: Exit code for invalid process settings.
-_EXIT_SETTINGS = 2
-
-
-@click.command()
-@click.argument(
-    'config_file',
-    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
-)
-def run_daemon(config_file: pathlib.Path) -> None:
-    """Run one entry instance with the settings in CONFIG_FILE."""
-    try:
-        config = LocalConfig.from_file(config_file)
-    except SettingsFaulty as error:
-        click.echo(f'anvilhalld: {error.reason}', err=True)
-        sys.exit(_EXIT_SETTINGS)
-    clock = SystemClock()
-    writer = start_logging(clock)
-    asyncio.run(_run_until_signal(config, clock, writer))
-
-
-def build_instance(
-    config: LocalConfig,
-    clock: Clock,
-) -> Instance | Gateway:
-    """Build a gateway if the settings have a relay section, else an instance.
-
-    Both run as one entry instance.
-    """
-    if config.relay:
-        return Gateway.from_config(config, config.relay, clock)
-    return Instance.from_config(config, clock)
-
-
-async def _run_until_signal(
-    config: LocalConfig,
-    clock: Clock,
-    writer: LogWriter,
-) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    instance = build_instance(config, clock)
-    writer.on_drop = instance.metrics.count_dropped_line
-    loop.add_signal_handler(signal.SIGHUP, instance.note_reload)
-    await instance.start()
-    await stop.wait()
-    await instance.stop()
+    run_service()
 
 
 if __name__ == '__main__':
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -170,10 +170,12 @@
 
     def _spawn_module(self, name, module, *arguments):
         command = [sys.executable, '-m', module, *map(str, arguments)]
-        self.processes[name] = subprocess.Popen(
-            command,
-            stderr=subprocess.DEVNULL,
-        )
+        with (self.folder / f'{name}.log').open('wb') as log:
+            self.processes[name] = subprocess.Popen(
+                command,
+                stderr=subprocess.DEVNULL,
+                stdout=log,
+            )
 
     async def _retry(self, call):
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -72,3 +72,17 @@
             assert (await fleet.list_runs()).count('seat-1') == 1
 
     asyncio.run(scenario())
+
+
+# Guards against a reload signal that stays held back, or ends the process.
+def test_reload_signal_is_handled_while_an_instance_serves(tmp_path, root_json):
+    async def scenario():
+        async with _open_processes(tmp_path, root_json) as fleet:
+            name = next(iter(fleet.callers))
+            fleet.send_signal(name, signal.SIGHUP)
+            body = build_chat('after the reload', max_tokens=5)
+            assert read_text(await fleet.chat(name, body)) == expect_text(body)
+            log = tmp_path / f'{name}.log'
+            await wait_for(lambda: '"reload"' in log.read_text())
+
+    asyncio.run(scenario())
