--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -83,6 +83,6 @@
             body = build_chat('after the reload', max_tokens=5)
             assert read_text(await fleet.chat(name, body)) == expect_text(body)
             log = tmp_path / f'{name}.log'
-            await wait_for(lambda: '"reload"' in log.read_text())
+            await wait_for(lambda: ':reload"' in log.read_text())
 
     asyncio.run(scenario())
