Refuse a request whose grant can't be handled, and release its slot

What callers saw: a request whose grant failed half-way in the broker waited for nothing until its deadline, and the slot stayed taken. A cancellation that a callback reads from a cancelled future would stop the delivery of all later callbacks, as it is no Exception.

Cause: Broker._handle_grant takes the request off the list of waiting ones before it looks at the grant; if that raises, nobody knows of either. Outbox._deliver caught Exception only. An attempt whose handover could not be closed kept its grant.

Change: a failed grant is returned to its owner and the request refused as not run (internal_not_run); the outbox handles any exception of a callback; the grant of an attempt is released in any case.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -224,10 +224,18 @@
 
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
+        try:
+            self._close_handover()
+        finally:
+            self._release()
+
+    def _close_handover(self) -> None:
         if self.handover:
             if self.handover.stalled and not self.served:
                 self.failure = self.failure or UpstreamStalled.code
             self.handover.close()
+
+    def _release(self) -> None:
         if not self.served:
             self.transfer.abort()
         self._services.broker.release(
--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -44,6 +44,7 @@
 from anvilhall.core.tree import Tree
 from anvilhall.core.verification import Verification
 from anvilhall.exceptions import (
+    InternalRefusal,
     NoRunner,
     Overloaded,
     PeerUnreachable,
@@ -498,6 +499,18 @@
         if pending is None:
             self._report(sender, _build_release(grant))
             return
+        try:
+            self._accept_grant(sender, grant, pending)
+        except BaseException:
+            # Nobody else would release the slot or end the request's wait.
+            self._running.pop(grant.request_id, None)
+            self._report(sender, _build_release(grant))
+            pending.handler.handle_refusal(InternalRefusal())
+            raise
+
+    def _accept_grant(
+        self, sender: str, grant: Grant, pending: _Pending
+    ) -> None:
         grant = self.verification.refine(grant)
         if not self.verification.is_usable(grant, pending.ask):
             # The owner does not know yet that the runner is leaving or gone, or
@@ -539,15 +552,9 @@
 
     def _refuse(self, pending: _Pending, error: RequestRefused) -> None:
         self.outbox.post(
-            functools.partial(self._finish_refusal, pending, error)
+            functools.partial(_finish_refusal, self._pending, pending, error)
         )
 
-    def _finish_refusal(self, pending: _Pending, error: RequestRefused) -> None:
-        request_id = pending.ask.request_id
-        if self._pending.get(request_id) is pending:
-            self._pending.pop(request_id)
-            pending.handler.handle_refusal(error)
-
     def _report(
         self, target: str | None, message: Progress | Release | HeldList
     ) -> None:
@@ -598,6 +605,16 @@
             self._forward(instance, message)
 
 
+def _finish_refusal(
+    waiting: dict[str, _Pending], pending: _Pending, error: RequestRefused
+) -> None:
+    """Refuse a request unless it has been withdrawn."""
+    request_id = pending.ask.request_id
+    if waiting.get(request_id) is pending:
+        waiting.pop(request_id)
+        pending.handler.handle_refusal(error)
+
+
 def _list_held(
     requests: dict[str, _Running], owner: str, pool: str
 ) -> HeldList:
--- a/src/anvilhall/core/outbox.py
+++ b/src/anvilhall/core/outbox.py
@@ -24,7 +24,7 @@
         #: Receives the exceptions of callbacks, which keep no other callback
         #: from its call. ``None``: the first one is raised after the last
         #: callback.
-        self.on_error: Callable[[Exception], None] | None = None
+        self.on_error: Callable[[BaseException], None] | None = None
 
     def post(self, callback: Callable[[], None]) -> None:
         """Call a function after the current step; at once outside of one."""
@@ -48,13 +48,14 @@
         if errors and not self.on_error:
             raise errors[0]
 
-    def _deliver(self) -> list[Exception]:
-        errors: list[Exception] = []
+    def _deliver(self) -> list[BaseException]:
+        errors: list[BaseException] = []
         while self._callbacks:
             try:
                 self._callbacks.popleft()()
-            except Exception as error:  # noqa: BLE001
+            except BaseException as error:  # noqa: BLE001
                 # One failed callback must not keep the others from their call.
+                # A cancellation is one of something that the callback read.
                 errors.append(error)
                 if self.on_error:
                     self.on_error(error)
--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -177,6 +177,12 @@
     code = 'quarantined'
 
 
+class InternalRefusal(RequestRefused):
+    """Something that the request waited for, before it was sent, failed."""
+
+    code = 'internal_not_run'
+
+
 class ClaimUnavailable(RequestRefused):
     """The log could not confirm the claim on the idempotency key in time."""
 
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -97,6 +97,10 @@
     def withdraw(self, broker: Broker, ask: Ask) -> None:
         """Withdraw the request, and release a grant that has arrived."""
         broker.withdraw(ask.request_id)
+        self.release(broker)
+
+    def release(self, broker: Broker) -> None:
+        """Release a grant that has arrived and that no attempt uses."""
         grant = self._grant
         if grant:
             self._grant = None
