Raise exceptions of a response's sinks instead of a transfer error

What callers saw: a fault while a chunk or the head of an answer was passed on became a broken connection to the runner: the stream was resumed at another runner behind an event that had never been sent, or the request run again. No line named the fault; libcurl printed it to the output.

Cause: libcurl does not pass on exceptions of its callbacks.

Change: the exchange keeps the exception, aborts, and raises it.

--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams and services of the platform."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Protocol
@@ -215,6 +216,7 @@
     __slots__ = (
         '_call',
         '_done',
+        '_fault',
         '_head_complete',
         '_head_sink',
         '_headers',
@@ -240,6 +242,8 @@
         #: Whether the headers of the final (not 1xx) response are complete.
         self._head_complete = False
         self._result: tuple[int, str] | None = None
+        #: Exception in a sink, which libcurl would not pass on.
+        self._fault: BaseException | None = None
         loop = asyncio.get_running_loop()
         self._done: asyncio.Future[None] = loop.create_future()
 
@@ -269,6 +273,8 @@
         return self._build_reply()
 
     def _build_reply(self) -> Reply:
+        if self._fault:
+            raise self._fault
         if self._result is None:
             raise _build_failure(self._transfer, 'aborted by this instance')
         number, message = self._result
@@ -339,13 +345,23 @@
             return -1
         self._head_complete = True
         if self._head_sink and not self._transfer.aborted:
-            self._head_sink(self._status, self._headers)
+            return self._guard(
+                functools.partial(self._head_sink, self._status, self._headers)
+            )
         return None
 
     def _handle_chunk(self, chunk: bytes) -> int | None:
         if self._transfer.aborted:
             return -1
-        self._sink(chunk)
+        return self._guard(functools.partial(self._sink, chunk))
+
+    def _guard(self, call_sink: Callable[[], None]) -> int | None:
+        """Call a sink; keep its exception for :meth:`run`."""
+        try:
+            call_sink()
+        except BaseException as fault:  # noqa: BLE001
+            self._fault = fault
+            return -1
         return None
 
 
