--- a/tests/test_lone_instance.py
+++ b/tests/test_lone_instance.py
@@ -13,17 +13,13 @@
 REQUESTS = 6
 
 
-def _find_owner_name(gateway):
-    """Return a name for an instance that owns the pool beside ``g1``."""
+def _owns_pool(name, gateway):
+    """Return whether an instance owns the pool ``desk`` beside ``g1``."""
     directory = Directory('g1', 'r')
-    for number in itertools.count():
-        name = f'gone-{number}'
-        entry = Member(name, 'a:1', 'd1', region='r')
-        own = Member('g1', 'a:2', 'd1', region='r')
-        directory.set_list(MemberList(members=(entry, own, *gateway.runners)))
-        directory.set_live(['g1', name])
-        if directory.find_owner('desk') == name:
-            return name
+    entries = (Member(each, 'a:1', 'd1', region='r') for each in ('g1', name))
+    directory.set_list(MemberList(members=(*entries, *gateway.runners)))
+    directory.set_live(['g1', name])
+    return directory.find_owner('desk') == name
 
 
 def _count_errors(gateway):
@@ -38,7 +34,8 @@
 async def _restart_alone(site):
     """Have an instance crash and another one restart and decide alone."""
     g1 = site.gateways['g1']
-    name = _find_owner_name(g1)
+    names = (f'gone-{number}' for number in itertools.count())
+    name = next(each for each in names if _owns_pool(each, g1))
     await site.add_gateway(name)
     await wait_until(lambda: name in g1._fleet.live)
     site.gateways.pop(name).close()
