Test that requests at the fallback move when their owner answers again

Cause: the survivor had granted and queued requests at its fallback while the owner was away. As links came up, Broker._retarget_requests released the granted ones there; the fallback granted on at once and changed the dictionary of the loop. RuntimeError ended each of three changes of the view; what waited stayed at the fallback, with a share of the slots (72 of 432), until its wait ended.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -202,6 +202,32 @@
     assert 1 <= len(granted) <= slots // 2
 
 
+# Guards against take-ups that wait at the fallback until they are refused,
+# though slots are free: their owner answers again, but a slot that was released
+# and granted anew ended the move of the requests half-way.
+def test_requests_at_the_fallback_move_to_an_owner_that_answers_again(
+    requester,
+):
+    slots = requester.tree.pools['desk'].slots
+    handlers = {f'q{number}': None for number in range(2 * slots)}
+    for name in handlers:
+        handlers[name] = requester.ask(name)
+    requester.wait(0.07)
+    waiting = {name for name, each in handlers.items() if not each.grant}
+    assert waiting
+    assert len(waiting) < len(handlers)
+    requester.sent.clear()
+    requester.broker.fallback.mark_responsive(requester.owner)
+    requester.broker.refresh(requester.tree)
+    assert set(requester.list_asks()) == waiting
+    for asked in waiting:
+        requester.broker.handle_answer(
+            requester.owner, Grant('desk', asked, 'r1', 'a:1', 1)
+        )
+    assert all(each.grant for each in handlers.values())
+    assert requester.broker.running_count == len(handlers)
+
+
 def test_new_owner_gets_the_recent_prompts(requester):
     """A restart of the owner must not lose track of the prefix caches."""
     session = (('sheet', 2500), ('session', 3800))
