Bound the bytes of each answer that are no part of it

Callers saw other requests stand still while faulty runners answered without end: a chunk extension, of which libcurl tells nobody, was read until the time limit of the request, and many endless answers at once held the event loop for seconds. The own interface kept the events of an endless answer without limit.

Cause: only libcurl's own limits on heads applied. Bytes that it skips were not counted. Each call of libcurl goes on with every transfer that has data left, so that n ready connections made it read n times n buffers in one iteration of the loop, with a callback for each tiny chunk. `fetch` discarded what exceeded its limit, but read on.

Ruled out: the progress callback and the size of the download, which count the decoded body; the debug callback, which sees the bytes but turns each event of each transfer into calls of Python; smaller buffers, which slow down sound answers and leave the quadratic time.

Change: in the client, once for all readers, a head with informational responses and trailers has at most 512 lines and 64 KiB; bytes read from the socket, as the kernel counts them, may exceed head and body by 1 MiB and eight times the body; a gathered body ends at the limit that its caller names. The exchange fails with `upstream_cut`, as after the limits of libcurl, and `attempt_failed` names the runner. The events of an answer that the own interface keeps are limited to 16 MiB.

--- a/src/anvilhall/defaults.py
+++ b/src/anvilhall/defaults.py
@@ -20,6 +20,8 @@
 ANSWER_CACHE_SIZE = 512
 #: Largest answer kept in memory, in bytes.
 ANSWER_CACHE_ENTRY_BYTES = 256 * 1024
+#: Largest answer of an upstream that is gathered whole, in bytes.
+GATHER_LIMIT_BYTES = 16 * 1024 * 1024
 #: Timeout for connecting to an upstream, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds from the grant to the first event of an answer, or to the whole
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -115,6 +115,7 @@
         '_avoided_runners',
         '_claim',
         '_delivered',
+        '_delivered_size',
         '_failed_attempts',
         '_job',
         '_may_have_run',
@@ -146,6 +147,7 @@
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
         self._delivered: list[bytes] = []
+        self._delivered_size = 0
         #: Software version that these events are from; ``None``: no events.
         self._version: str | None = None
 
@@ -355,6 +357,12 @@
     def _forward(self, grant: Grant, events: bytes) -> None:
         if not self._delivered:
             self._observe_first_token()
+        self._delivered_size += len(events)
+        if self._delivered_size > defaults.GATHER_LIMIT_BYTES:
+            raise UpstreamGarbled(
+                f'answer of {self._delivered_size} bytes, '
+                f'limit {defaults.GATHER_LIMIT_BYTES}',
+            )
         self._delivered.append(events)
         # The runner may have restarted since the grant; this is known later.
         self._version = self._services.broker.verification.refine(grant).version
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -10,6 +10,7 @@
 import pycurl
 from tornado.httputil import HTTPHeaders
 
+from anvilhall import defaults
 from anvilhall.curl import CurlDriver, set_socket_options
 from anvilhall.exceptions import (
     UpstreamCut,
@@ -17,8 +18,17 @@
     UpstreamStalled,
 )
 
-#: Largest response body that :meth:`CurlOutbound.fetch` reads, in bytes.
-_BODY_LIMIT_BYTES = 16 * 1024 * 1024
+#: Largest head of a response with all informational responses before it and
+#: the trailers after it, in bytes and in lines.
+_HEAD_LIMIT_BYTES = 64 * 1024
+_HEAD_LIMIT_LINES = 512
+#: Bytes that may be read and belong neither to a head nor to a body: those of
+#: each response, and for each byte of its body. A byte of body takes up to six
+#: in a chunk of its own.
+_OVERHEAD_LIMIT_BYTES = 1024 * 1024
+_OVERHEAD_PER_BYTE = 8
+#: Chunks of a response that are passed on in one iteration of the event loop.
+_TURN_CHUNKS = 32
 _MS_PER_S = 1000.0
 #: Headers that libcurl adds by default; ``Name:`` without a value removes them.
 _SUPPRESSED = ('accept', 'content-type', 'expect', 'user-agent')
@@ -41,6 +51,8 @@
     fresh: bool = False
     #: Seconds for which an idle connection may be reused.
     idle_limit_s: int = 60
+    #: Largest body that :meth:`Outbound.fetch` gathers, in bytes.
+    gather_limit_bytes: int = defaults.GATHER_LIMIT_BYTES
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -149,20 +161,15 @@
             body is too large.
         """
         parts: list[bytes] = []
-        body_size = 0
-
-        def collect(chunk: bytes) -> None:  # noqa: WPS430
-            nonlocal body_size  # noqa: WPS420
-            body_size += len(chunk)
-            if body_size <= _BODY_LIMIT_BYTES:
-                parts.append(chunk)
-
-        transfer = transfer or Transfer()
-        reply = await self.stream(call, transfer, collect)
-        if body_size > _BODY_LIMIT_BYTES:
-            raise UpstreamCut(
-                f'body of {body_size} bytes, limit {_BODY_LIMIT_BYTES}',
-            )
+        reply = await self._run(
+            call,
+            _Exchange(
+                call,
+                transfer or Transfer(),
+                parts.append,
+                body_limit_bytes=call.gather_limit_bytes,
+            ),
+        )
         return Reply(reply.status, reply.headers, b''.join(parts))
 
     async def stream(
@@ -183,13 +190,14 @@
         :raises UpstreamStalled: if it timed out after it was sent.
         :raises UpstreamCut: if the exchange failed after it was sent.
         """
+        return await self._run(call, _Exchange(call, transfer, sink, head_sink))
+
+    async def _run(self, call: Call, exchange: '_Exchange') -> Reply:
         if self._driver is None:
             self._driver = CurlDriver()
-        if self._requires_fresh_connection(call):
-            call = msgspec.structs.replace(call, fresh=True)
-        exchange = _Exchange(call, transfer, sink, head_sink)
+        fresh = call.fresh or self._requires_fresh_connection(call)
         try:
-            return await exchange.run(self._driver)
+            return await exchange.run(self._driver, fresh=fresh)
         finally:
             if exchange.ended_within_head:
                 self._avoid_pooled_connections(call)
@@ -214,16 +222,25 @@
     """One HTTP exchange, run as a libcurl transfer."""
 
     __slots__ = (
+        '_body_limit_bytes',
+        '_body_size',
         '_call',
         '_done',
+        '_driver',
+        '_excess',
         '_fault',
+        '_handle',
         '_head_complete',
+        '_head_lines',
         '_head_sink',
+        '_head_size',
         '_headers',
         '_result',
         '_sink',
         '_status',
         '_transfer',
+        '_turn',
+        '_turn_chunks',
     )
 
     def __init__(
@@ -231,12 +248,27 @@
         call: Call,
         transfer: Transfer,
         sink: Callable[[bytes], None],
-        head_sink: Callable[[int, HTTPHeaders], None] | None,
+        head_sink: Callable[[int, HTTPHeaders], None] | None = None,
+        body_limit_bytes: int = 0,
     ) -> None:
         self._call = call
         self._transfer = transfer
         self._sink = sink
         self._head_sink = head_sink
+        #: 0: none.
+        self._body_limit_bytes = body_limit_bytes
+        self._driver: CurlDriver
+        self._handle: pycurl.Curl
+        self._body_size = 0
+        #: Size of the head with informational responses and trailers.
+        self._head_size = 0
+        self._head_lines = 0
+        #: Limit that the response has exceeded; empty: none.
+        self._excess = ''
+        #: Iteration of the event loop in which chunks were last passed on, and
+        #: their number.
+        self._turn = 0
+        self._turn_chunks = 0
         self._status = 0
         self._headers = HTTPHeaders()
         #: Whether the headers of the final (not 1xx) response are complete.
@@ -254,13 +286,15 @@
             self._result[0] or self._head_complete
         )
 
-    async def run(self, driver: CurlDriver) -> Reply:
+    async def run(self, driver: CurlDriver, *, fresh: bool) -> Reply:
         if self._transfer.aborted:
             raise UpstreamRefused('aborted by this instance')
         handle = driver.acquire_handle()
-        self._set_options(handle)
+        self._driver = driver
+        self._handle = handle
+        self._set_options(handle, fresh=fresh)
         self._transfer.bind(self._done)
-        driver.start(handle, self._handle_done)
+        driver.start(handle, self._handle_done, self._find_excess)
         try:
             await self._done
         except asyncio.CancelledError:
@@ -270,13 +304,15 @@
             if self._result is None:
                 # A handle that has finished may already be reused.
                 driver.cancel(handle)
+        if self._fault:
+            raise self._fault
         return self._build_reply()
 
     def _build_reply(self) -> Reply:
-        if self._fault:
-            raise self._fault
         if self._result is None:
             raise _build_failure(self._transfer, 'aborted by this instance')
+        if self._excess:
+            raise UpstreamCut(self._excess)
         number, message = self._result
         if number == pycurl.E_OPERATION_TIMEDOUT and self._transfer.sent:
             raise UpstreamStalled(message)
@@ -289,7 +325,7 @@
         if not self._done.done():
             self._done.set_result(None)
 
-    def _set_options(self, handle: pycurl.Curl) -> None:
+    def _set_options(self, handle: pycurl.Curl, *, fresh: bool) -> None:
         call = self._call
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
@@ -308,7 +344,7 @@
                 max(1, int(call.timeout_s * _MS_PER_S)),
             )
         handle.setopt(pycurl.MAXAGE_CONN, call.idle_limit_s)
-        if call.fresh:
+        if fresh:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
         handle.setopt(pycurl.SOCKOPTFUNCTION, self._prepare_socket)
         handle.setopt(pycurl.PREREQFUNCTION, self._allow_send)
@@ -321,14 +357,40 @@
 
     def _allow_send(self, *_: object) -> int:
         if self._transfer.try_mark_sent():
+            self._driver.note_sent(self._handle)
             return int(pycurl.PREREQFUNC_OK)
         return int(pycurl.PREREQFUNC_ABORT)
 
+    def _find_excess(self, received: int) -> str:
+        """Return how bytes without meaning exceed their limit, if they do."""
+        overhead = received - self._head_size - self._body_size
+        limit = _OVERHEAD_LIMIT_BYTES + _OVERHEAD_PER_BYTE * self._body_size
+        if overhead > limit:
+            self._excess = (
+                f'{overhead} bytes that are no part of the answer, '
+                f'limit {limit}'
+            )
+        return self._excess
+
     def _handle_header_line(self, line: bytes) -> int | None:
-        # Trailers are ignored, and so is the line within which a connection has
-        # closed, which libcurl passes on.
-        if self._head_complete or not line.endswith(b'\n'):
-            return None
+        self._head_lines += 1
+        self._head_size += len(line)
+        if (
+            self._head_lines > _HEAD_LIMIT_LINES
+            or self._head_size > _HEAD_LIMIT_BYTES
+        ):
+            self._excess = (
+                f'head of {self._head_lines} lines and {self._head_size} '
+                f'bytes, limit {_HEAD_LIMIT_LINES} and {_HEAD_LIMIT_BYTES}'
+            )
+            return -1
+        # Trailers are ignored. libcurl passes on the line within which a
+        # connection has closed.
+        if not self._head_complete and line.endswith(b'\n'):
+            return self._read_header_line(line)
+        return None
+
+    def _read_header_line(self, line: bytes) -> int | None:
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/'):
             self._status = int(text.split(maxsplit=2)[1])
@@ -353,6 +415,14 @@
     def _handle_chunk(self, chunk: bytes) -> int | None:
         if self._transfer.aborted:
             return -1
+        if self._is_turn_spent():
+            self._driver.resume(self._handle)
+            return int(pycurl.WRITEFUNC_PAUSE)
+        self._body_size += len(chunk)
+        limit = self._body_limit_bytes
+        if limit and self._body_size > limit:
+            self._excess = f'body of {self._body_size} bytes, limit {limit}'
+            return -1
         return self._guard(functools.partial(self._sink, chunk))
 
     def _guard(self, call_sink: Callable[[], None]) -> int | None:
@@ -364,6 +434,14 @@
             return -1
         return None
 
+    def _is_turn_spent(self) -> bool:
+        """Count a chunk; return whether it must wait for the next iteration."""
+        if self._turn != self._driver.turn:
+            self._turn = self._driver.turn
+            self._turn_chunks = 0
+        self._turn_chunks += 1
+        return self._turn_chunks > _TURN_CHUNKS
+
 
 def _unify_lengths(headers: HTTPHeaders) -> bool:
     """Replace equal lengths of a body by one.
--- a/src/anvilhall/upstreams.py
+++ b/src/anvilhall/upstreams.py
@@ -16,6 +16,8 @@
 from anvilhall.registry import Registry
 
 _JSON = 'application/json'
+#: Largest answer to a cancellation, in bytes.
+_CANCEL_LIMIT_BYTES = 64 * 1024
 _TRUE = msgspec.Raw(b'true')
 _FALSE = msgspec.Raw(b'false')
 
@@ -83,6 +85,7 @@
             body=b'',
             connect_timeout_s=job.pool.connect_timeout_s,
             timeout_s=job.pool.connect_timeout_s,
+            gather_limit_bytes=_CANCEL_LIMIT_BYTES,
         )
 
 
