Keep a silent attempt open until another runner has begun

Callers saw streams of sound runners closed before their end: a runner fell silent for 1.4 s, another one was granted after 1.2 s, the silent attempt was aborted at once, and the other runner answered that it had not run the request. That answer counted as one of the route's attempts, so that none was left. On the own interface, chats and orders that may not be repeated or continued elsewhere ended with an error once their upstream was silent for longer than the pool's limit.

Cause: an attempt was given up at a grant, which is no promise that the runner takes the request, and at a limit for which there is no other runner to turn to.

Change: the granted runner is tried by a successor beside the silent attempt. The silent attempt is aborted as soon as the head of the other one's answer is accepted, or a quarter of a second after the request was sent there without a refusal, so that two runners do not work on a stream for longer. If the silent runner goes on first, the successor is ended; if the successor is refused or unreachable, the stream stays where it is and another runner is asked for later. If the silent attempt fails meanwhile, the stream goes on with the successor. An incomplete event is discarded when its own attempt is given up, not when the exchange has ended, as the next attempt may have sent by then.

A runner's statement that it has not run the request spends no attempt of a request that may have run before, of which the caller can't be told "not run"; the number of all attempts bounds it. It still spends a retry of the budget, which counts all requests that a runner receives.

On the own interface, all chats have a handover, which reports the stall to the owner and says why the chat may not move; they and orders then have until their deadline. A plain service that is silent is left only if the request may be sent again.

A grant is released if its attempt can't be created.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a relayed request: the HTTP exchange with one runner."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
 
@@ -103,6 +104,7 @@
         '_requests_per_s',
         '_response_head',
         '_services',
+        'begin_handler',
         'failure',
         'first_token_s',
         'grant',
@@ -153,6 +155,9 @@
         self._problem: AnvilhallError | None = None
         #: Moves the stream if it stalls; ``None`` if it is not resumable.
         self.handover: Handover | None = None
+        #: Called when the runner has accepted the request, if a stalled attempt
+        #: of it is open until then.
+        self.begin_handler: Callable[[], None] | None = None
 
     async def run(self, last_event_id: str) -> None:
         """Send the request and forward the response.
@@ -164,7 +169,7 @@
         services = self._services
         if self._job.route.streaming:
             services.activity.begin(self.grant.runner, self._granted_at)
-        if self.handover:
+        if self.handover and self.begin_handler is None:
             self.handover.start()
         try:
             await services.outbound.stream(
@@ -214,12 +219,13 @@
         )
 
     def abort_stalled(self) -> None:
-        """End the attempt with an error, as another runner is granted."""
+        """End the attempt with an error, as another runner has begun."""
         silent_s = self._services.clock.monotonic() - self._last_progress_at
         self._problem = UpstreamStalled(
             f'no whole event for {silent_s:.2f} s, '
             f'limit {self.stall_timeout_s:.2f} s'
         )
+        self._drop_partial()
         self.transfer.abort()
 
     def close(self) -> None:
@@ -296,6 +302,8 @@
             self.transfer.abort()
             return
         self._response_head = (status, headers)
+        if self.begin_handler:
+            self.begin_handler()
 
     def _check_request_id(
         self, status: int, request_id: str
@@ -445,8 +453,14 @@
         )
         self._requests_per_s = None
 
+    def _drop_partial(self) -> None:
+        """Discard an incomplete event of this attempt, but of no later one."""
+        if self._forwarding:
+            self._forwarding = False
+            self._listener.drop_partial()
+
     def _raise_failure(self, error: AnvilhallError) -> None:
-        self._listener.drop_partial()
+        self._drop_partial()
         if not isinstance(error, RequestRefused) or isinstance(
             error,
             UpstreamFull | UpstreamRefused | UpstreamReplaced,
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -44,6 +45,7 @@
 from anvilhall.logs import log_failed_attempt
 from anvilhall.metrics import Metrics
 from anvilhall.outbound import Call, Outbound, Reply, Transfer
+from anvilhall.successors import Successor
 from anvilhall.upstreams import WIRES, Wire, read_limit
 
 #: HTTP statuses by which an upstream states that it did not start the request.
@@ -59,6 +61,11 @@
 #: Lower bound of a measured time to first token, in seconds; 0 in a report
 #: means that no token has arrived.
 _MIN_FIRST_TOKEN_S = 0.0001
+#: Refusals beside a stalled attempt after which no other runner is tried.
+_REFUSED_MOVES = 2
+#: Seconds until it is checked again whether a stalled request may be sent to
+#: another runner.
+_WATCHDOG_REPEAT_S = 0.2
 
 
 class Sink(Protocol):
@@ -120,6 +127,7 @@
         '_job',
         '_may_have_run',
         '_moved',
+        '_refused_moves',
         '_runners',
         '_services',
         '_sink',
@@ -136,13 +144,15 @@
         self._arrived_at = services.clock.monotonic()
         #: Failed attempts; preempted ones do not count.
         self._failed_attempts = 0
+        #: Those of them that runners refused beside a stalled attempt.
+        self._refused_moves = 0
         #: Whether an attempt may have run the request.
         self._may_have_run = False
         self._avoided_runners: tuple[str, ...] = ()
         #: Runners of all attempts.
         self._runners: set[str] = set()
-        #: Grant of the runner that the answer moves to, if it moves.
-        self._moved: PendingGrant | None = None
+        #: Attempt that the answer goes on with, if it moves.
+        self._moved: Successor | None = None
         self._claim: Claim | None = None
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
@@ -167,7 +177,7 @@
             raise DeadlinePassed from error
         finally:
             if self._moved:
-                self._moved.release(self._services.broker)
+                self._moved.cancel()
             self._close_claim()
 
     async def _try_attempts(self) -> None:
@@ -227,13 +237,19 @@
         )
 
     def find_obstacle(self) -> str:
-        """Return why the answer may not be moved; empty if it may."""
+        """Return why no other runner may be tried; empty if one may."""
         try:
             self.check_shutdown()
         except ShuttingDown as error:
             return f'{error.code}: {error.reason}'
-        if self._failed_attempts + 1 >= defaults.ATTEMPTS_LIMIT:
+        if not self._job.retryable:
+            return 'the request may not run twice'
+        if self._delivered and not self._job.settings.resumable:
+            return 'its answer may not be continued'
+        if self._count_spent() + 1 >= defaults.ATTEMPTS_LIMIT:
             return 'the attempts of the request are spent'
+        if self._refused_moves > _REFUSED_MOVES:
+            return 'too many runners have refused the request'
         now = self._services.clock.monotonic()
         if not self._services.retry_budget.has_left(now):
             return BUDGET_SPENT
@@ -250,8 +266,7 @@
         repeated = grant.runner in self._runners
         self._runners.add(grant.runner)
         attempt = _Attempt(self._job, grant, services, repeated=repeated)
-        settings = self._job.settings
-        if self._wire.streams and settings.resumable and self._job.retryable:
+        if self._wire.streams:
             attempt.handover = Handover(
                 attempt,
                 self,
@@ -261,23 +276,40 @@
             )
         return attempt
 
-    def _prepare_grant(self) -> PendingGrant:
-        """Return the grant that the answer moves with, or an unresolved one."""
-        moved = self._moved
-        self._moved = None
-        if moved is None:
-            self.check_shutdown()
-        return moved or PendingGrant()
+    def start_successor(
+        self, pending: PendingGrant, ask: Ask, grant: Grant
+    ) -> Successor:
+        """Send the request to another runner beside the stalled attempt.
+
+        :param pending: holds the grant.
+        """
+        with pending.hold(self._services.broker, ask):
+            attempt = self._build_attempt(grant)
+        return Successor(
+            attempt, self._exchange(attempt, pending, ask), attempt.close
+        )
 
     async def _attempt(self) -> None:
-        pending_grant = self._prepare_grant()
+        successor = self._moved
+        if successor:
+            self._moved = None
+            await successor.wait()
+            return
+        self.check_shutdown()
+        pending = PendingGrant()
         ask = self.build_ask()
-        grant = await pending_grant.wait(self._services.broker, ask)
-        try:
+        broker = self._services.broker
+        with pending.hold(broker, ask):
+            grant = await pending.wait(broker, ask)
             attempt = self._build_attempt(grant)
-        except BaseException:
-            pending_grant.release(self._services.broker)
-            raise
+        try:
+            await self._exchange(attempt, pending, ask)
+        finally:
+            attempt.close()
+
+    async def _exchange(
+        self, attempt: '_Attempt', pending_grant: PendingGrant, ask: Ask
+    ) -> None:
         try:
             await self._send(attempt, pending_grant)
         except AnvilhallError as error:
@@ -285,11 +317,11 @@
                 self._may_have_run = True
             if pending_grant.paused:
                 raise Paused from error
-            self._moved = attempt.take_next_grant()
+            self._moved = attempt.take_successor()
             self._record_failure(attempt, error)
             log_failed_attempt(
                 ask,
-                grant,
+                attempt.grant,
                 error,
                 elapsed_s=attempt.measure_elapsed_s(),
                 first_token_s=attempt.first_token_s,
@@ -299,8 +331,6 @@
             # A cancellation, or a fault of this program.
             self._may_have_run = self._may_have_run or attempt.transfer.sent
             raise
-        finally:
-            attempt.close()
 
     async def _send(
         self, attempt: '_Attempt', pending_grant: PendingGrant
@@ -316,6 +346,8 @@
         error: AnvilhallError,
     ) -> None:
         self._failed_attempts += 1
+        if attempt.begin_handler and error.outcome is Outcome.NOT_RUN:
+            self._refused_moves += not attempt.disputed
         attempt.failure = _get_runner_failure(error)
         if attempt.failure:
             self._avoided_runners = (
@@ -343,7 +375,7 @@
             forward = functools.partial(self._forward, attempt.grant)
             await attempt.stream(self._wire, answer, forward)
         else:
-            reply = await attempt.exchange(self._wire)
+            reply = await attempt.exchange(self._wire, self.find_obstacle)
             self._sink.write_reply(reply)
         attempt.served = True
         self._may_have_run = True
@@ -388,10 +420,14 @@
         )
         if isinstance(error, Paused) or self._moved:
             return True
-        if not allowed or self._failed_attempts >= defaults.ATTEMPTS_LIMIT:
+        if not allowed or self._count_spent() >= defaults.ATTEMPTS_LIMIT:
             return False
         return self.try_spend_retry()
 
+    def _count_spent(self) -> int:
+        """Return the failed attempts that count against their limit."""
+        return self._failed_attempts - self._refused_moves
+
     def _count_retry(self, error: AnvilhallError) -> None:
         self._services.metrics.retries.labels(
             error.code,
@@ -426,6 +462,7 @@
         '_reported_at',
         '_requests_per_s',
         '_services',
+        'begin_handler',
         'disputed',
         'failure',
         'first_token_s',
@@ -460,11 +497,20 @@
         self._requests_per_s: float | None = None
         #: Moves the answer if it stalls; ``None`` if it is not resumable.
         self.handover: Handover | None = None
+        #: Called when the runner has accepted the request, if a stalled attempt
+        #: of it is open until then.
+        self.begin_handler: Callable[[], None] | None = None
+
+    async def exchange(
+        self, wire: Wire, find_obstacle: Callable[[], str]
+    ) -> Reply:
+        """Return the whole response of a plain service.
 
-    async def exchange(self, wire: Wire) -> Reply:
-        """Return the whole response of a plain service."""
+        :param find_obstacle: returns why a silent service is waited for; empty
+            if the request may be sent elsewhere.
+        """
         call = self._build_call(wire, None)
-        watchdog = self._start_watchdog()
+        watchdog = _Watchdog(self, find_obstacle)
         try:
             reply = await self._services.outbound.fetch(call, self.transfer)
         except (UpstreamCut, UpstreamRefused) as error:
@@ -511,11 +557,12 @@
             self._note_limit(headers)
             accepted = status == _HTTP_OK
             self._check_refusal(status, headers)
+            if accepted and self.begin_handler:
+                self.begin_handler()
 
         activity = self._services.activity
         activity.begin(self.grant.runner, self._granted_at)
-        watchdog = None if self.handover else self._start_watchdog()
-        if self.handover:
+        if self.handover and self.begin_handler is None:
             self.handover.start()
         try:
             reply = await self._services.outbound.stream(
@@ -530,8 +577,6 @@
             failure = _find_status_error(reply)
         finally:
             activity.end(self.grant.runner, begun=self.first_token_s > 0)
-            if watchdog:
-                watchdog.cancel()
         self._check_end(errors, failure, forward)
 
     def close(self) -> None:
@@ -650,9 +695,6 @@
             'without a finish reason',
         )
 
-    def _start_watchdog(self) -> '_Watchdog':
-        return _Watchdog(self, self._job)
-
     def measure_elapsed_s(self) -> float:
         """Return the seconds since the grant."""
         return self._services.clock.monotonic() - self._granted_at
@@ -671,8 +713,8 @@
         limit = began + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
 
-    def take_next_grant(self) -> PendingGrant | None:
-        """Return the grant of the runner that the answer moves to, if any."""
+    def take_successor(self) -> Successor | None:
+        """Return the attempt that the answer goes on with, if any."""
         return self.handover.take() if self.handover else None
 
     def report_stall(self) -> None:
@@ -689,12 +731,13 @@
         )
 
     def abort_stalled(self) -> None:
-        """End the attempt with an error, as another runner is granted."""
+        """End the attempt with an error, as another runner has begun."""
         self.transfer.abort()
 
     def _detect_stall(self, error: AnvilhallError) -> AnvilhallError:
-        """Replace the error of a transfer that the watchdog aborted."""
-        if self.transfer.sent and self.compute_time_left_s() <= 0:
+        """Replace the error of a transfer that was aborted as it stalled."""
+        aborted = self.transfer.sent and self.transfer.aborted
+        if aborted and self.compute_time_left_s() <= 0:
             return UpstreamStalled(
                 'no data within the time limit (first byte: '
                 f'{self._job.pool.first_byte_timeout_s} s, '
@@ -716,14 +759,20 @@
 
 
 class _Watchdog:
-    """Aborts an attempt whose runner sends nothing within its timeout."""
+    """Aborts an attempt that has stalled, if the request may be sent elsewhere.
 
-    __slots__ = ('_attempt', '_timer')
+    Otherwise its runner, which may go on, has time until the deadline.
+    """
 
-    def __init__(self, attempt: _Attempt, job: Job) -> None:
+    __slots__ = ('_attempt', '_find_obstacle', '_timer')
+
+    def __init__(
+        self, attempt: _Attempt, find_obstacle: Callable[[], str]
+    ) -> None:
         self._attempt = attempt
+        self._find_obstacle = find_obstacle
         self._timer: asyncio.TimerHandle
-        self._arm(min(job.pool.first_byte_timeout_s, job.pool.gap_timeout_s))
+        self._arm(attempt.stall_timeout_s)
 
     def cancel(self) -> None:
         self._timer.cancel()
@@ -736,6 +785,8 @@
         left_s = self._attempt.compute_time_left_s()
         if left_s > 0:
             self._arm(left_s)
+        elif self._find_obstacle():
+            self._arm(_WATCHDOG_REPEAT_S)
         else:
             self._attempt.transfer.abort()
 
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -1,6 +1,8 @@
 """Waits for the grant of one attempt."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, Release, get_request_id
@@ -94,6 +96,17 @@
                 self.withdraw(broker, ask)
         return grant
 
+    @contextlib.contextmanager
+    def hold(self, broker: Broker, ask: Ask) -> Iterator[None]:
+        """Release the grant if its attempt can't be created."""
+        created = False
+        try:
+            yield
+            created = True
+        finally:
+            if not created:
+                self.withdraw(broker, ask)
+
     def withdraw(self, broker: Broker, ask: Ask) -> None:
         """Withdraw the request, and release a grant that has arrived."""
         broker.withdraw(ask.request_id)
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -1,11 +1,13 @@
 """Moves streams from runners that have fallen silent to other runners.
 
-A stalled attempt stays open while another runner is asked for, because its
-runner may go on. It is aborted only when another runner has been granted.
+A stalled attempt stays open while another runner is asked for and tried,
+because its runner may go on, and the other one may refuse the request. It is
+aborted when the other runner has accepted the request.
 """
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -14,9 +16,10 @@
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, name_grant
-from anvilhall.exceptions import RequestRefused
+from anvilhall.exceptions import AnvilhallError, RequestRefused
 from anvilhall.grants import PendingGrant
 from anvilhall.logs import log_event
+from anvilhall.successors import Successor
 
 #: Seconds until a runner is asked for again, if none was granted or the granted
 #: one is no better: at first and at most. They double with each ask.
@@ -32,6 +35,12 @@
 #: Seconds until a runner is asked for again, if the retry budget was spent
 #: between the ask and its grant.
 _BUDGET_REPEAT_S = 1.0
+#: Seconds for which two runners may have the request. A runner that refuses it
+#: does so at once; one that has not is taken to work on it.
+_OVERLAP_S = 0.25
+#: Seconds until it is checked again whether the request has been sent to the
+#: other runner.
+_UNSENT_REPEAT_S = 0.05
 #: Reason for which a stalled stream is not moved for now.
 BUDGET_SPENT = 'the retry budget is spent'
 
@@ -52,7 +61,7 @@
         """Tell the owner of the runner that the attempt has stalled."""
 
     def abort_stalled(self) -> None:
-        """End the attempt with an error, as another runner is granted."""
+        """End the attempt with an error, as another runner has begun."""
 
 
 class StreamRequest(Protocol):
@@ -70,6 +79,14 @@
     def try_spend_retry(self) -> bool:
         """Take a retry from the budget; return whether one was left."""
 
+    def start_successor(
+        self, pending: PendingGrant, ask: Ask, grant: Grant
+    ) -> Successor:
+        """Send the request to another runner beside the stalled attempt.
+
+        :param pending: holds the grant.
+        """
+
 
 class Handover:
     """Finds another runner for one attempt of a stream if it stalls.
@@ -93,6 +110,7 @@
         '_repeat_s',
         '_request',
         '_stalled',
+        '_successor',
         '_timer',
     )
 
@@ -111,8 +129,10 @@
         self._clock = clock
         self._activity = activity
         self._timer: asyncio.TimerHandle | None = None
-        #: Unanswered ask, or the grant of another runner.
+        #: Unanswered ask.
         self._pending: PendingGrant | None = None
+        #: Attempt at another runner, until it is taken.
+        self._successor: Successor | None = None
         self._ask: Ask
         self._ask_count = 0
         #: Whether the attempt has sent an event.
@@ -133,7 +153,7 @@
         self._schedule_check(self._attempt.compute_time_left_s())
 
     def note_progress(self) -> None:
-        """Withdraw the ask, as the runner has gone on."""
+        """Give up other runners, as the runner has gone on."""
         if self._moved:
             return
         if self._stalled:
@@ -145,19 +165,20 @@
         self._begun = True
         self._schedule_check(self._attempt.compute_time_left_s())
 
-    def take(self) -> PendingGrant | None:
-        """Return the grant of the runner that the stream moves to, if any.
+    def take(self) -> Successor | None:
+        """Return the attempt that the stream goes on with, if any.
 
-        The caller must release it.
+        If the observed attempt has failed, this is also one that has not begun
+        yet. The caller must wait for it.
         """
-        if not self._moved:
-            return None
-        taken = self._pending
-        self._pending = None
-        return taken
+        successor = self._successor
+        if successor:
+            self._move()
+            self._successor = None
+        return successor
 
     def close(self) -> None:
-        """Stop observing; withdraw the ask, or release a grant not taken."""
+        """Stop observing; withdraw the ask, or end an attempt not taken."""
         if self._timer:
             self._timer.cancel()
         self._withdraw()
@@ -165,10 +186,13 @@
             self._end_stall()
 
     def _schedule_check(self, delay_s: float) -> None:
+        self._schedule(delay_s, self._check)
+
+    def _schedule(self, delay_s: float, work: Callable[[], None]) -> None:
         if self._timer:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._check)
+        self._timer = loop.call_later(delay_s, work)
 
     def _check(self) -> None:
         left_s = self._attempt.compute_time_left_s()
@@ -218,7 +242,8 @@
 
     def _handle_answer(self, answer: 'asyncio.Future[Grant]') -> None:
         error = answer.exception()
-        if self._pending is None or self._pending.future is not answer:
+        pending = self._pending
+        if pending is None or pending.future is not answer:
             # It was withdrawn.
             return
         if error is None:
@@ -234,9 +259,50 @@
             else:
                 self._schedule_repeat()
             return
+        self._pending = None
+        self._try_runner(pending, answer.result())
+
+    def _try_runner(self, pending: PendingGrant, grant: Grant) -> None:
+        self._successor = self._request.start_successor(
+            pending, self._ask, grant
+        )
+        self._successor.observe(self._move, self._handle_failure)
+        self._schedule(_UNSENT_REPEAT_S, self._check_sent)
+
+    def _check_sent(self) -> None:
+        successor = self._successor
+        if successor and successor.attempt.transfer.sent:
+            self._schedule(_OVERLAP_S, self._end_overlap)
+        else:
+            self._schedule(_UNSENT_REPEAT_S, self._check_sent)
+
+    def _end_overlap(self) -> None:
+        """Move the stream unless the new attempt is about to fail."""
+        if self._successor and not self._successor.ended:
+            self._move()
+
+    def _handle_failure(self, error: BaseException) -> None:
+        """Stay with the stalled attempt, as the new one has failed."""
+        if self._moved or self._successor is None:
+            return
+        self._successor = None
+        self._reason = type(error).__name__
+        if isinstance(error, AnvilhallError):
+            self._reason = f'{error.code}: {error.reason}'
+        self._schedule_repeat()
+
+    def _move(self) -> None:
+        """Give up the stalled attempt, as the new one is accepted."""
+        successor = self._successor
+        if self._moved or successor is None:
+            return
+        if self._timer:
+            self._timer.cancel()
         self._moved = True
-        self._log('stream_moved', to=answer.result().runner)
+        self._log('stream_moved', to=successor.attempt.grant.runner)
         self._attempt.abort_stalled()
+        if successor.attempt.handover:
+            successor.attempt.handover.start()
 
     def _find_obstacle(self, grant: Grant) -> str:
         """Return why the stream is not moved to a granted runner, if so.
@@ -261,6 +327,10 @@
         self._pending = None
         if pending:
             pending.withdraw(self._broker, self._ask)
+        successor = self._successor
+        self._successor = None
+        if successor:
+            successor.cancel()
 
     def _end_stall(self) -> None:
         self._stalled = False
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -1,6 +1,7 @@
 """Runs a relayed request: its attempts, retries and resumed streams."""
 
 import asyncio
+import functools
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -16,6 +17,7 @@
     DeadlineExceeded,
     DeadlinePassed,
     Outcome,
+    RequestRefused,
     ShuttingDown,
     UpstreamFailed,
     UpstreamRefused,
@@ -25,9 +27,12 @@
 from anvilhall.handover import BUDGET_SPENT, Handover
 from anvilhall.logs import log_failed_attempt
 from anvilhall.relayjobs import RelayJob, RelayServices
+from anvilhall.successors import Successor
 
 #: Time left until the deadline, in seconds, below which no retry is made.
 _SEND_MARGIN_S = 0.005
+#: Attempts beyond those of the route that runners may refuse.
+_REFUSED_ATTEMPTS = 2
 
 
 class RelaySink(Protocol):
@@ -51,6 +56,7 @@
         '_may_have_run',
         '_moved',
         '_noted',
+        '_runs',
         '_services',
         '_sink',
         '_version',
@@ -80,8 +86,10 @@
         self._noted: str | None = None
         #: Whether a runner may have run the request in a previous attempt.
         self._may_have_run = False
-        #: Grant of the runner that the stream moves to, if it moves.
-        self._moved: PendingGrant | None = None
+        #: Attempt that the stream goes on with, if it moves.
+        self._moved: Successor | None = None
+        #: Attempts that may have run the request.
+        self._runs = 0
         self._event_framer = EventFramer()
         #: Software version that the events sent are from, or those of the
         #: stream that the request resumes; ``None``: none sent.
@@ -130,7 +138,7 @@
             raise DeadlinePassed from error
         finally:
             if self._moved:
-                self._moved.release(services.broker)
+                self._moved.cancel()
 
     async def _find_origin(self) -> None:
         """Bind a request that resumes a stream to where the stream began.
@@ -203,8 +211,10 @@
             return f'{error.code}: {error.reason}'
         if self._delivered and not self._event_framer.last_id:
             return 'its events have no identifiers'
-        if self.sends + 1 >= self._job.route.attempts:
+        if self._runs + 1 >= self._job.route.attempts:
             return 'the attempts of the route are spent'
+        if self._is_refused_too_often():
+            return 'too many runners have refused the request'
         now = self._services.clock.monotonic()
         if not self._services.budgets.has_left(self._job.pool_name, now):
             return BUDGET_SPENT
@@ -215,16 +225,21 @@
         now = self._services.clock.monotonic()
         return self._services.budgets.try_spend(self._job.pool_name, now)
 
-    async def _begin_attempt(self, ask: Ask) -> RelayAttempt:
-        """Wait for a grant; return its attempt, which releases it."""
-        pending = self._moved or PendingGrant()
-        self._moved = None
-        try:
-            grant = await self._wait_for_grant(pending, ask)
-            return self._build_attempt(grant)
-        except BaseException:
-            pending.release(self._services.broker)
-            raise
+    def start_successor(
+        self, pending: PendingGrant, ask: Ask, grant: Grant
+    ) -> Successor:
+        """Send the request to another runner beside the stalled attempt.
+
+        :param pending: holds the grant.
+        """
+        with pending.hold(self._services.broker, ask):
+            attempt = self._build_attempt(grant)
+        self.waits_s.append(0.0)
+        return Successor(
+            attempt,
+            self._exchange(attempt, ask),
+            functools.partial(self._end_attempt, attempt),
+        )
 
     async def _wait_for_grant(self, pending: PendingGrant, ask: Ask) -> Grant:
         services = self._services
@@ -257,37 +272,50 @@
         return attempt
 
     async def _run_attempt(self) -> None:
-        job = self._job
-        if self._moved is None:
-            self.check_shutdown()
+        successor = self._moved
+        if successor:
+            self._moved = None
+            await successor.wait()
+            return
+        self.check_shutdown()
         ask = self.build_ask()
-        attempt = await self._begin_attempt(ask)
-        grant = attempt.grant
+        pending = PendingGrant()
+        with pending.hold(self._services.broker, ask):
+            grant = await self._wait_for_grant(pending, ask)
+            attempt = self._build_attempt(grant)
+        try:
+            await self._exchange(attempt, ask)
+        finally:
+            self._end_attempt(attempt)
+
+    async def _exchange(self, attempt: RelayAttempt, ask: Ask) -> None:
         try:
             self.check_shutdown()
             await attempt.run(self._event_framer.last_id)
-            self._services.shutdown.note_duration(
-                job.route.name, attempt.measure_elapsed_s()
-            )
         except AnvilhallError as error:
             if error.outcome is not Outcome.NOT_RUN:
                 self._may_have_run = True
-            self._avoid = (*self._avoid, grant.runner)
+            self._avoid = (*self._avoid, attempt.grant.runner)
             if attempt.handover:
                 self._moved = attempt.handover.take()
             log_failed_attempt(
                 ask,
-                grant,
+                attempt.grant,
                 error,
                 elapsed_s=attempt.measure_elapsed_s(),
                 first_token_s=attempt.first_token_s,
             )
             raise
-        finally:
-            self.sends += attempt.transfer.sent
-            if attempt.transfer.sent and not attempt.not_run:
-                self._may_have_run = True
-            attempt.close()
+        self._services.shutdown.note_duration(
+            self._job.route.name, attempt.measure_elapsed_s()
+        )
+
+    def _end_attempt(self, attempt: RelayAttempt) -> None:
+        self.sends += attempt.transfer.sent
+        if attempt.transfer.sent and not attempt.not_run:
+            self._runs += 1
+            self._may_have_run = True
+        attempt.close()
 
     def handle_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of the response, unless an attempt has already."""
@@ -356,13 +384,19 @@
         now = self._services.clock.monotonic()
         if job.deadline_at - now <= _SEND_MARGIN_S:
             return False
+        if isinstance(error, RequestRefused) and self._is_refused_too_often():
+            return False
         if isinstance(error, UpstreamRefused):
             # Nothing was sent, so this spends neither the route's attempts nor
-            # the retry budget; the number of grants bounds it.
-            return len(self.runners) <= job.route.attempts + 2
-        if self.sends >= job.route.attempts:
-            return False
-        return self.try_spend_retry()
+            # the retry budget.
+            return True
+        # A refusal spends an attempt only if the caller can be told of it.
+        spent = self._runs if self._may_have_run else self.sends
+        return spent < job.route.attempts and self.try_spend_retry()
+
+    def _is_refused_too_often(self) -> bool:
+        limit = self._job.route.attempts + _REFUSED_ATTEMPTS
+        return len(self.runners) > limit
 
     def _convert_error(self, error: AnvilhallError) -> AnvilhallError:
         if self.response_started:
--- /dev/null
+++ b/src/anvilhall/successors.py
@@ -0,0 +1,93 @@
+"""Attempts of streams that begin while a silent one is still open."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from anvilhall.core.messages import Grant
+from anvilhall.outbound import Transfer
+
+
+class Observer(Protocol):
+    """Observes an attempt for stalls."""
+
+    def start(self) -> None:
+        """Begin to observe the attempt."""
+
+
+class SuccessorAttempt(Protocol):
+    """An attempt at the runner to which a stalled stream may move."""
+
+    grant: Grant
+    transfer: Transfer
+    #: Called when the runner has accepted the request; ``None`` if no other
+    #: attempt is open meanwhile.
+    begin_handler: Callable[[], None] | None
+
+    @property
+    def handover(self) -> Observer | None:
+        """Moves the stream again, if it may be moved."""
+
+
+class Successor:
+    """Runs an attempt in a task until the stream moves to it or stays.
+
+    :param attempt: not sent yet.
+    :param exchange: sends it and forwards its response.
+    :param end: closes the attempt and releases its grant.
+    """
+
+    __slots__ = ('_end', '_ended', '_failure_handler', '_task', 'attempt')
+
+    def __init__(
+        self,
+        attempt: SuccessorAttempt,
+        exchange: Coroutine[Any, Any, None],
+        end: Callable[[], None],
+    ) -> None:
+        """Create the task; it begins after the caller has returned."""
+        self.attempt = attempt
+        self._end = end
+        self._ended = False
+        self._failure_handler: Callable[[BaseException], None] | None = None
+        self._task = asyncio.ensure_future(exchange)
+        # A task that is cancelled before its first step runs no code.
+        self._task.add_done_callback(self._handle_end)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the attempt has ended, or its exchange is aborted."""
+        return self._task.done() or self.attempt.transfer.aborted
+
+    def observe(
+        self,
+        begin_handler: Callable[[], None],
+        failure_handler: Callable[[BaseException], None],
+    ) -> None:
+        """Set what is called when the attempt begins or fails."""
+        self.attempt.begin_handler = begin_handler
+        self._failure_handler = failure_handler
+
+    async def wait(self) -> None:
+        """Wait for the end of the attempt.
+
+        :raises AnvilhallError: if the runner does not serve the request.
+        """
+        await self._task
+
+    def cancel(self) -> None:
+        """End the attempt at once."""
+        self._failure_handler = None
+        self._task.cancel()
+        self._end_once()
+
+    def _handle_end(self, task: asyncio.Task[None]) -> None:
+        self._end_once()
+        error = None if task.cancelled() else task.exception()
+        if error and self._failure_handler:
+            self._failure_handler(error)
+
+    def _end_once(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._end()
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -424,3 +424,111 @@
             assert body == BODY
 
     asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def _try_second_runner(pause_s, behaviour, pause_after=2, attempts=2):
+    """Run a site with a stream that stalls on ``llm-0`` and tries ``llm-1``.
+
+    Yields the site and the task of the stream.
+    """
+    async with _run_engines(8, 8, attempts=attempts) as site:
+        pausing = site.runners['llm-0']
+        pausing.traits.pause_after = pause_after
+        pausing.traits.pause_s = pause_s
+        site.runners['llm-1'].behaviours.extend([behaviour] * 50)
+        headers = {'Anvilhall-Deadline-Ms': '4000'}
+        (task,) = _start_streams(site, 1, headers=headers)
+        yield site, task
+        task.cancel()
+
+
+# Guards against a stream that is joined from two runs, or moved to a runner
+# that does not answer, although its own runner has gone on.
+@pytest.mark.parametrize('pause_after', [0, 2])
+def test_runner_that_goes_on_first_keeps_its_stream(pause_after):
+    async def scenario():
+        async with _try_second_runner(1.3, 'mute', pause_after) as state:
+            site, task = state
+            pausing, other = site.runners['llm-0'], site.runners['llm-1']
+            assert await task == BODY
+            assert len(pausing.runs) == len(pausing.spans) == 1
+            await wait_until(lambda: other.disconnected_ids)
+            assert len(other.runs) == 1
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against a sound stream that ends because the next runner is gone.
+def test_unreachable_runner_leaves_the_stream_where_it_is():
+    async def scenario():
+        async with _try_second_runner(1.6, '') as (site, task):
+            site.runners['llm-1'].stop()
+            assert await task == BODY
+            assert len(site.runners['llm-0'].runs) == 1
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream that is sent to full runners without end.
+def test_refusals_of_other_runners_are_bounded():
+    async def scenario():
+        async with _try_second_runner(DEAD_S, 'full') as (site, task):
+            assert await task == b'cut'
+            refused = 50 - len(site.runners['llm-1'].behaviours)
+            assert 2 <= refused <= 4
+            assert len(site.runners['llm-0'].runs) == 1
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against a stream that is begun a third time, as its runner breaks off
+# while another one is tried.
+def test_stream_goes_on_at_the_tried_runner_if_its_own_breaks_off():
+    async def scenario():
+        async with _try_second_runner(1.3, '') as (site, task):
+            pausing, other = site.runners['llm-0'], site.runners['llm-1']
+            pausing.cut_after = 2
+            other.work_s = 0.22
+            assert await task == BODY
+            assert len(pausing.runs) == len(other.runs) == 1
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against runners that work on, and slots that stay taken, for a caller
+# that leaves while two runners have its stream.
+def test_caller_that_leaves_while_a_runner_is_tried_ends_both_runs():
+    async def scenario():
+        async with _try_second_runner(DEAD_S, 'mute') as (site, task):
+            pausing, other = site.runners['llm-0'], site.runners['llm-1']
+            await wait_until(lambda: other.runs)
+            assert not pausing.spans
+            task.cancel()
+            await wait_until(lambda: other.disconnected_ids)
+            await wait_until(lambda: pausing.spans)
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
+
+
+# Guards against a slot that stays taken by a request which ends between its
+# grant and its attempt.
+def test_failure_between_grant_and_attempt_releases_the_grant(monkeypatch):
+    def fail(*_, **__):
+        raise RuntimeError('no attempt')
+
+    async def scenario():
+        async with _run_engines(1) as site:
+            with monkeypatch.context() as patch:
+                patch.setattr('anvilhall.relaying.RelayAttempt', fail)
+                reply = await site.fetch('/chat/1', method='POST', body=b'q')
+            assert reply.status == 500
+            await wait_until(lambda: _is_released(site))
+            assert await _stream(site, 2) == BODY
+
+    asyncio.run(scenario())
--- a/tests/test_silent_runner_own.py
+++ b/tests/test_silent_runner_own.py
@@ -14,6 +14,8 @@
     Cluster,
     build_chat,
     expect_text,
+    inject_fault,
+    open_cluster,
     read_text,
     wait_for,
 )
@@ -299,3 +301,128 @@
             assert texts == [expect_text(BODY)] * 4
 
     asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def _try_second_engine(root, fault, pause_s):
+    """Run a chat that stalls on one engine while the other one has a fault.
+
+    Yields the cluster, the stalled engine, the other one and the chat's task.
+    """
+    async with _open_engines(root, 2, 8, step_ms=50) as cluster:
+        (task,) = _start_chats(cluster, 1)
+        engines = cluster.engines.values()
+        await wait_for(lambda: any(engine.running for engine in engines))
+        pausing, other = sorted(engines, key=lambda engine: not engine.running)
+        _pause(pausing, 3, pause_s)
+        inject_fault(other.faults, fault, amount=50)
+        yield cluster, pausing, other, task
+        task.cancel()
+
+
+def _is_cancelled(engine):
+    """Return whether the requests that an engine does not answer are over."""
+    return all(event.is_set() for event in engine.running.values())
+
+
+# Guards against a chat that leaves a sound engine for one that refuses it.
+def test_refusal_of_the_next_engine_leaves_the_chat_where_it_is(root_json):
+    async def scenario():
+        trial = _try_second_engine(root_json, 'refuse', PAUSE_S)
+        async with trial as (cluster, pausing, other, task):
+            assert await task == expect_text(BODY)
+            assert len(pausing.started) == 1
+            assert not other.started
+            await wait_for(lambda: _is_released(cluster))
+
+    asyncio.run(scenario())
+
+
+# Guards against a chat that is joined from two runs, or moved to an engine that
+# does not answer, although its own engine has gone on.
+def test_engine_that_goes_on_first_keeps_its_chat(root_json):
+    async def scenario():
+        trial = _try_second_engine(root_json, 'nothing', 0.65)
+        async with trial as (cluster, pausing, other, task):
+            assert await task == expect_text(BODY)
+            assert len(pausing.started) == len(other.started) == 1
+            await wait_for(lambda: _is_cancelled(other))
+            await wait_for(lambda: _is_released(cluster))
+
+    asyncio.run(scenario())
+
+
+# Guards against slots that stay taken for a caller that leaves while two
+# engines have its chat.
+def test_caller_that_leaves_while_an_engine_is_tried_ends_both_runs(root_json):
+    async def scenario():
+        trial = _try_second_engine(root_json, 'nothing', DEAD_S)
+        async with trial as (cluster, pausing, other, task):
+            await wait_for(lambda: other.started)
+            assert not pausing.cancelled
+            task.cancel()
+            await wait_for(lambda: pausing.cancelled and _is_cancelled(other))
+            await wait_for(lambda: _is_released(cluster))
+
+    asyncio.run(scenario())
+
+
+# Guards against dead engines that keep a chat which may not move beyond its
+# deadline, and get further ones.
+@pytest.mark.parametrize('after', [0, 2])
+def test_chat_that_may_not_move_ends_at_its_deadline(root_json, after):
+    root_json['classes']['quick'].update(idempotent=False)
+
+    async def scenario():
+        async with _open_engines(root_json, 1, 8) as cluster:
+            dead = cluster.engines['chat-0']
+            _pause(dead, after, DEAD_S)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            tasks = _start_chats(cluster, 2, 1.5)
+            await wait_for(lambda: len(dead.started) == 2)
+            await wait_for(lambda: _list_stalled(cluster))
+            assert set(await asyncio.gather(*tasks)) <= {'cut', 'error'}
+            assert 1.4 < loop.time() - began < 2.5
+            await wait_for(lambda: _is_released(cluster))
+
+    asyncio.run(scenario())
+
+
+# Guards against an order that ends with an error before its deadline, as its
+# service is silent for longer than the pool's limit.
+def test_order_of_a_silent_service_is_answered(root_json):
+    root_json['pools']['desk']['first_byte_timeout_s'] = 0.2
+
+    async def scenario():
+        async with open_cluster(root_json, services=1) as cluster:
+            service = cluster.books['desk-0']
+            inject_fault(service.faults, 'slow', amount=0.6)
+            reply = await cluster.call(
+                'entry-0', 'buy', {'Anvilhall-Class': 'order'}
+            )
+            assert reply.status == 200
+            assert len(service.runs) == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against a slot that stays taken by a chat which ends between its grant
+# and its attempt.
+def test_failure_between_grant_and_attempt_releases_the_grant(
+    root_json, monkeypatch
+):
+    def fail(*_, **__):
+        raise RuntimeError('no attempt')
+
+    async def scenario():
+        async with _open_engines(root_json, 1, 1) as cluster:
+            with monkeypatch.context() as patch:
+                patch.setattr('anvilhall.execution._Attempt', fail)
+                (task,) = _start_chats(cluster, 1)
+                assert await task in {'cut', 'error'}
+            await wait_for(lambda: _is_released(cluster))
+            (task,) = _start_chats(cluster, 1)
+            assert await task == expect_text(BODY)
+
+    asyncio.run(scenario())
