Keep the queue of callbacks alive if the receiver of its errors fails

What callers would see: no grant and no refusal is delivered any more (found by review; no report of it). Cause: the end of the step was not noted if the receiver raised. Evidence: the new test fails before the change and passes after it.

--- a/src/anvilhall/core/outbox.py
+++ b/src/anvilhall/core/outbox.py
@@ -43,11 +43,16 @@
         try:
             yield
         finally:
-            errors = self._deliver()
-            self._active = False
+            errors = self._end_step()
         if errors and not self.on_error:
             raise errors[0]
 
+    def _end_step(self) -> list[BaseException]:
+        try:
+            return self._deliver()
+        finally:
+            self._active = False
+
     def _deliver(self) -> list[BaseException]:
         errors: list[BaseException] = []
         while self._callbacks:
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -57,3 +57,18 @@
         outbox.post(lambda: called.append('still'))
         raise KeyError('step')
     assert called == ['still']
+
+
+# Guards against an outbox that calls nothing any more.
+def test_failed_receiver_of_errors_does_not_stop_later_callbacks():
+    outbox = Outbox()
+    called = []
+
+    def fail_too(error):
+        raise OSError('log') from error
+
+    outbox.on_error = fail_too
+    with pytest.raises(OSError, match='log'):
+        outbox.post(_fail)
+    outbox.post(lambda: called.append('later'))
+    assert called == ['later']
