Identify asks of the relay by more than the caller's identifier

What callers saw: a request waited to its deadline and got 503, although a slot was free, as another request with its identifier had ended; a caller that sends again under its identifier and then closes the first connection does that, and so may a caller of another account.

Cause: the relay's asks carried the caller's identifier as it came, by which broker and owners know them; the withdrawal of one request removed the other.

Change: a random number follows the identifier in the asks; logs, evidence of crashes and limits go on with the caller's.

Evidence: the new test on sockets gets 503 before the change (503 == 200) and 200 after it.

--- a/src/anvilhall/faults.py
+++ b/src/anvilhall/faults.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from anvilhall.core.messages import get_request_id
 from anvilhall.exceptions import AnswerCut, AnvilhallError, InternalRefusal
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
@@ -63,6 +64,6 @@
         'grants_reclaimed',
         pool=pool,
         instance=instance,
-        request_ids=request_ids[:_SHOWN_REQUESTS],
+        request_ids=list(map(get_request_id, request_ids[:_SHOWN_REQUESTS])),
         count=len(request_ids),
     )
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -15,7 +15,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
-from anvilhall.core.messages import Ask, Grant, name_grant
+from anvilhall.core.messages import Ask, Grant, get_request_id, name_grant
 from anvilhall.exceptions import AnvilhallError, RequestRefused
 from anvilhall.grants import PendingGrant
 from anvilhall.logs import log_event
@@ -342,7 +342,7 @@
         attempt = self._attempt
         log_event(
             kind,
-            request_id=self._request.build_ask().request_id,
+            request_id=get_request_id(attempt.grant.request_id),
             pool=attempt.grant.pool,
             runner=attempt.grant.runner,
             asks=self._ask_count,
--- a/src/anvilhall/logs.py
+++ b/src/anvilhall/logs.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from anvilhall.clock import Clock
-from anvilhall.core.messages import Ask, Grant
+from anvilhall.core.messages import Ask, Grant, get_request_id
 from anvilhall.exceptions import AnvilhallError
 
 #: Rate limit in lines per second: logging takes CPU time from requests.
@@ -128,7 +128,7 @@
     """
     log_event(
         'attempt_failed',
-        request_id=ask.request_id,
+        request_id=get_request_id(ask.request_id),
         class_name=ask.class_name,
         account=ask.account,
         pool=grant.pool,
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -27,6 +27,7 @@
     encode_error,
     exceeds_limit,
 )
+from anvilhall.core.messages import name_grant
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.dialect import RequestHead
 from anvilhall.exceptions import (
@@ -65,6 +66,8 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     ),
 )
+#: Bits of the random number in the identifier of a request's asks.
+_ASK_ID_BITS = 48
 #: Digits of a declared length in an error message.
 _SHOWN_DIGITS = 18
 #: Factor on the idle timeout of the settings. Callers reuse a connection until
@@ -162,6 +165,9 @@
         if not head.request_id:
             raise MalformedRequest('the request has no request identifier')
         job = RelayJob(head, self.services.clock.monotonic())
+        job.ask_id = name_grant(
+            head.request_id, self.services.rng.getrandbits(_ASK_ID_BITS)
+        )
         job.request = CallerRequest(
             start_line.method,
             start_line.path,
--- a/src/anvilhall/relayjobs.py
+++ b/src/anvilhall/relayjobs.py
@@ -41,6 +41,7 @@
     __slots__ = (
         'account',
         'arrived_at',
+        'ask_id',
         'deadline_at',
         'head',
         'origin',
@@ -60,6 +61,9 @@
         """
         self.head = head
         self.request_id = head.request_id
+        #: Identifies the request towards owners: callers may choose the
+        #: identifier of another request.
+        self.ask_id = head.request_id
         self.arrived_at = arrived_at
         #: Time at which the request times out, in monotonic seconds.
         self.deadline_at = arrived_at
@@ -121,7 +125,7 @@
         """
         return Ask(
             pool=self.pool_name,
-            request_id=self.request_id,
+            request_id=self.ask_id,
             class_name=self.route.name,
             account=self.account,
             prompt_tokens=self.head.prompt_tokens,
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -51,3 +51,27 @@
             assert (await site.fetch('/lookup/2')).status == 200
 
     asyncio.run(scenario())
+
+
+# Guards against a request that waits to its deadline, as another one with its
+# identifier has ended.
+def test_request_with_the_identifier_of_one_that_left_is_served():
+    async def scenario():
+        async with run_site() as site:
+            site.runners['desk-0'].work_s = 0.5
+            port = site.ports['g1']
+            for number in range(4):
+                await _send(port, f'full-{number}')
+            broker = site.gateways['g1']._fleet.broker
+            await wait_until(lambda: broker.running_count == 4)
+            left = await _send(port, 'same')
+            await wait_until(lambda: broker.busy)
+            headers = {'Anvilhall-Request-Id': 'same'}
+            again = asyncio.ensure_future(
+                site.fetch('/lookup/1', headers=headers)
+            )
+            await asyncio.sleep(LEAVE_S)
+            left.transport.abort()
+            assert (await again).status == 200
+
+    asyncio.run(scenario())
