Give back grants of shards that their request has left

What callers saw, as a consequence of queued callbacks: when the owner was heard again or the settings changed, each release to the fallback granted the next of the queue, and all of these grants were taken: 30 requests ran at once on 4 slots, and in a change with a new runner requests ran on slots that no owner counted (found by review).

Cause: a grant that waits in the queue of callbacks speaks of the moment of the decision; its request had been moved to another owner meanwhile. The class is that of an old view taken for the present. The same in the check for slots that nobody holds: a list of held requests was applied to grants that were made after it, and freed them.

Change: a grant of the own shards is given back unless its request still waits there. Requests that move from the fallback to an unchanged owner are reported to it by an inventory. Questions for held requests carry the owner's time, and only what was granted before is freed; an answer counts as a report, so that the next question follows after five seconds, not after one; requests are found by their instance instead of by a search of the shard.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -323,8 +323,9 @@
                 runners = self._directory.list_runners(pool)
                 self.owner.set_endpoints(pool, runners)
                 self.fallback.owner.set_endpoints(pool, runners)
-                self._update_owner(pool)
-            self._retarget_requests()
+            changed = set(filter(self._update_owner, tree.pools))
+            for reported in sorted(changed | self._retarget_requests()):
+                self.report_inventory(reported)
             self.tick()
 
     def reclaim_abandoned(self) -> list[str]:
@@ -382,10 +383,14 @@
     def report_inventory(self, pool: str) -> None:
         """Send the inventory of a pool to the owner in the local region."""
         owner = self._owners.get(pool)
-        if owner is None or owner == self._name:
+        if owner is None:
+            return
+        inventory = self.list_inventory(pool)
+        if owner == self._name:
+            self.owner.handle(owner, inventory)
             return
         try:
-            self._send(owner, self.list_inventory(pool))
+            self._send(owner, inventory)
         except PeerUnreachable:
             # handle_link_up() sends the inventory once the link is up again.
             return
@@ -431,8 +436,7 @@
         elif isinstance(message, Queued):
             self._handle_queued(sender, message)
         elif isinstance(message, HeldAsk):
-            held = _list_held(self._running, sender, message.pool)
-            self._report(sender, held)
+            self._report(sender, _list_held(self._running, sender, message))
         else:
             running = self._running.get(message.request_id)
             if running:
@@ -495,10 +499,14 @@
             pending.queued = True
 
     def _handle_grant(self, sender: str, grant: Grant) -> None:
-        pending = self._pending.pop(grant.request_id, None)
-        if pending is None:
+        pending = self._pending.get(grant.request_id)
+        moved = pending and pending.target != sender
+        if pending is None or (moved and sender in {self._name, _FALLBACK}):
+            # The request has ended, or has left the shard while its grant was
+            # in the queue of callbacks.
             self._report(sender, _build_release(grant))
             return
+        self._pending.pop(grant.request_id)
         try:
             self._accept_grant(sender, grant, pending)
         except BaseException:
@@ -517,6 +525,8 @@
             # knows another version of it. The next tick sends the request again
             # with the runner to avoid.
             self._report(sender, _build_release(grant))
+            if pending.target != sender:
+                self._report(pending.target, _build_release(pending.ask))
             pending.avoid(grant.runner)
             self._pending[grant.request_id] = pending
             return
@@ -572,19 +582,26 @@
                 # or asks which grants are held once a link is up again.
                 return
 
-    def _update_owner(self, pool: str) -> None:
+    def _update_owner(self, pool: str) -> bool:
+        """Take over or resign the shard of a pool.
+
+        :return: whether another instance than before owns it.
+        """
         owner = self._directory.find_owner(pool)
         if owner != self._name:
             self.owner.resign(pool)
         elif pool not in self.owner.pools:
             self.owner.take_over(pool, set(self._directory.live) - {owner})
-            self.owner.handle(owner, self.list_inventory(pool))
-        if owner != self._owners.get(pool):
-            self._owners[pool] = owner
-            self.report_inventory(pool)
+        before = self._owners.get(pool)
+        self._owners[pool] = owner
+        return owner != before
 
-    def _retarget_requests(self) -> None:
-        """Move requests from former owners to the current ones."""
+    def _retarget_requests(self) -> set[str]:
+        """Move requests from former owners to the current ones.
+
+        :return: pools of the running ones, which their owners don't know yet.
+        """
+        moved: set[str] = set()
         for running in self._running.values():
             owner = self._directory.find_owner(running.ask.pool)
             if owner in {None, running.target}:
@@ -592,11 +609,13 @@
             if _runs_in_local_region(running, self._directory):
                 self._report(running.target, _build_release(running.ask))
                 running.target = owner
+                moved.add(running.ask.pool)
         for pending in self._pending.values():
             owner = self._directory.find_owner(pending.ask.pool)
             if owner and pending.target not in {owner, None}:
                 self._report(pending.target, _build_release(pending.ask))
                 pending.detach()
+        return moved
 
     def _route_answer(self, instance: str, message: OwnerMessage) -> None:
         if instance == self._name:
@@ -616,15 +635,15 @@
 
 
 def _list_held(
-    requests: dict[str, _Running], owner: str, pool: str
+    requests: dict[str, _Running], owner: str, ask: HeldAsk
 ) -> HeldList:
-    """Return the requests of a pool that hold a grant of an owner."""
+    """Return the requests that hold a grant of an owner which asks for them."""
     request_ids = (
         request_id
         for request_id, running in requests.items()
-        if running.target == owner and running.ask.pool == pool
+        if running.target == owner and running.ask.pool == ask.pool
     )
-    return HeldList(pool, tuple(request_ids))
+    return HeldList(ask.pool, tuple(request_ids), ask.asked_at)
 
 
 def _runs_in_local_region(running: _Running, directory: Directory) -> bool:
--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -192,6 +192,8 @@
     """Asks an instance which of the owner's grants it still holds."""
 
     pool: str
+    #: Monotonic time of the owner in seconds, for its own use.
+    asked_at: float
 
 
 class HeldList(_Message, frozen=True):
@@ -199,6 +201,8 @@
 
     pool: str
     request_ids: tuple[str, ...]
+    #: As in the :class:`HeldAsk` that it answers.
+    asked_at: float
 
 
 class Challenge(_Message, frozen=True):
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -260,7 +260,7 @@
         self._checked_at = now
         for pool, owned in self._owned.items():
             for sender in owned.shard.list_silent_senders(now - _SILENT_S):
-                self._post(sender, HeldAsk(pool))
+                self._post(sender, HeldAsk(pool, now))
 
     def _apply(
         self,
@@ -277,7 +277,8 @@
         elif isinstance(message, Release):
             shard.release(message, now)
         elif isinstance(message, HeldList):
-            ended = shard.keep_only(sender, message.request_ids, now)
+            held = frozenset(message.request_ids)
+            ended = shard.keep_only(sender, held, message.asked_at, now)
             if ended:
                 self.on_reclaim(message.pool, sender, ended)
         else:
@@ -335,7 +336,7 @@
     shard: Shard, sender: str, inventory: Inventory, now: float
 ) -> None:
     held_ids = {held.request_id for held in inventory.held}
-    shard.keep_only(sender, held_ids, now)
+    shard.keep_only(sender, held_ids, now, now)
     for held in inventory.held:
         shard.adopt(sender, held, now)
     for read in inventory.reads:
--- a/src/anvilhall/core/shard.py
+++ b/src/anvilhall/core/shard.py
@@ -30,6 +30,7 @@
 from anvilhall.core.runners import Assignment, LatencyTargets, Runner
 from anvilhall.core.schedules import is_active
 from anvilhall.core.screening import Screening
+from anvilhall.core.senders import Senders
 from anvilhall.core.settings import ClassSettings, Pool
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import (
@@ -108,7 +109,7 @@
         self._queue = PoolQueue(self._policy)
         self._admission = Admission()
         #: Entry instance of each waiting or running request, by request id.
-        self._senders: dict[str, str] = {}
+        self._senders = Senders()
         #: Monotonic time at which each running request was granted or adopted,
         #: or its instance last reported progress.
         self._reported_at: dict[str, float] = {}
@@ -178,7 +179,7 @@
         except RequestRefused as error:
             self.screening.forget(ask.request_id)
             return [_refuse(sender, ask.request_id, error)]
-        self._senders[ask.request_id] = sender
+        self._senders.set(ask.request_id, sender)
         queued = QueuedRequest(ask, settings, now, sender)
         weight = self._admission.get_weight(ask.account)
         queued.cost_tokens = (
@@ -315,7 +316,7 @@
         self.screening.note_grant(held.request_id, held.parts)
         if held.tokens:
             self.screening.note_first_token(held.request_id, now)
-        self._senders[held.request_id] = sender
+        self._senders.set(held.request_id, sender)
         self._admission.adopt(held)
 
     def list_silent_senders(self, since: float) -> set[str]:
@@ -324,31 +325,33 @@
         :param since: monotonic time of the last report, in seconds.
         """
         return {
-            self._senders[request_id]
+            self._senders.get(request_id)
             for request_id, reported_at in self._reported_at.items()
             if reported_at < since and request_id in self._senders
         }
 
     def keep_only(
-        self, sender: str, request_ids: Container[str], now: float
+        self, sender: str, held: Container[str], listed_at: float, now: float
     ) -> list[str]:
         """Release the requests of an instance that it no longer runs.
 
-        Their releases were lost. Grants may still be on their way to it, so
-        those of the last moments are kept.
+        Their releases were lost. Grants may still have been on their way to it
+        when it listed its requests, so those of the moments before are kept.
 
-        :param request_ids: requests that run on the instance.
+        :param held: requests that run on the instance.
+        :param listed_at: monotonic time at which it had not listed them yet.
         :return: the released ones.
         """
-        oldest = now - _GRANT_TRANSIT_S
-        ended = [
-            assignment.request_id
-            for runner in self.runners.values()
-            for assignment in runner.assignments.values()
-            if self._reported_at.get(assignment.request_id, now) < oldest
-            and assignment.request_id not in request_ids
-            and self._senders.get(assignment.request_id) == sender
-        ]
+        oldest = listed_at - _GRANT_TRANSIT_S
+        ended: list[str] = []
+        for request_id in self._senders.list_requests(sender):
+            if request_id not in self._reported_at:
+                # It waits.
+                continue
+            if request_id in held:
+                self._reported_at[request_id] = now
+            elif self._reported_at[request_id] < oldest:
+                ended.append(request_id)
         for request_id in ended:
             self.release(_build_release(self._pool_name, request_id), now)
         return ended
@@ -365,16 +368,15 @@
 
     def drop_sender(self, sender: str) -> None:
         """Release all requests of an instance that left or failed."""
-        for request_id, instance in list(self._senders.items()):
-            if instance == sender:
-                self.release(_build_release(self._pool_name, request_id), 0)
+        for request_id in self._senders.list_requests(sender):
+            self.release(_build_release(self._pool_name, request_id), 0)
 
     def _answer_repeated_ask(self, sender: str, ask: Ask) -> list[Action]:
         """Answer a request that was sent again after its link broke.
 
         A running one gets its grant again; a waiting one stays in the queue.
         """
-        self._senders[ask.request_id] = sender
+        self._senders.set(ask.request_id, sender)
         found = self.roster.find_assignment(ask.request_id)
         if found is None:
             return []
@@ -515,7 +517,7 @@
             return []
         self._reprefilled_tokens = reprefilled
         self.paused.add(victim.request_id)
-        sender = self._senders.get(victim.request_id, '')
+        sender = self._senders.get(victim.request_id)
         return [Action(sender, Pause(victim.request_id))]
 
     def _release_ask(self, ask: Ask) -> None:
@@ -525,7 +527,7 @@
         self, request_id: str, account: str, class_name: str
     ) -> None:
         self.paused.discard(request_id)
-        self._senders.pop(request_id, None)
+        self._senders.remove(request_id)
         self._reported_at.pop(request_id, None)
         self.screening.forget(request_id)
         self._admission.release(request_id, account, class_name)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -10,6 +10,8 @@
 from anvilhall.core.messages import (
     Ask,
     Grant,
+    HeldAsk,
+    HeldList,
     Inventory,
     Queued,
     Refusal,
@@ -554,3 +556,106 @@
     leaving = _make_runner(name='r2', leaving=True)
     requester.set_runners([_make_runner(), leaving])
     assert not may_be_granted(ask)
+
+
+# Guards against a whole queue that runs at once, beyond the slots, as each
+# grant that follows a change is taken although its request has moved on.
+@pytest.mark.parametrize('change', ['refresh', 'set_tree'])
+def test_requests_that_leave_the_fallback_take_none_of_its_grants(
+    requester, change
+):
+    requester.ask('q0')
+    requester.wait(0.07)
+    for number in range(1, 30):
+        requester.ask(f'q{number}')
+    requester.wait(0.01)
+    running = requester.broker.running_count
+    requester.broker.fallback.mark_responsive(requester.owner)
+    getattr(requester.broker, change)(requester.tree)
+    assert requester.broker.running_count == running
+    assert requester.broker.fallback.owner.get_shard('desk').running_count == 0
+
+
+# Guards against running requests of which no owner knows.
+def test_owner_that_answers_again_gets_the_inventory(requester):
+    requester.ask('q0')
+    requester.wait(0.07)
+    requester.broker.fallback.mark_responsive(requester.owner)
+    requester.sent.clear()
+    requester.broker.refresh(requester.tree)
+    (inventory,) = (
+        message
+        for _, message in requester.sent
+        if isinstance(message, Inventory)
+    )
+    assert [held.request_id for held in inventory.held] == ['q0']
+
+
+# Guards against requests that run on slots which no owner counts.
+def test_new_owner_gets_all_running_requests_beside_a_new_runner(clock, tree):
+    sent = []
+    directory = Directory('e1', '')
+    entries = [Member(name, f'{name}:1', 'd') for name in ('e1', 'e2', 'e3')]
+    runner = Member('r1', 'a:1', 'd', 'desk')
+    directory.set_live(['e1'])
+    directory.set_list(MemberList(members=(*entries, runner)))
+    broker = Broker(
+        'e1',
+        clock,
+        directory,
+        lambda instance, message: sent.append(message),
+        lambda instance, message: None,
+        timeouts=TIMEOUTS,
+    )
+    broker.set_tree(tree)
+    for number in range(8):
+        ask = Ask('desk', f'q{number}', 'lookup', 'ann', 1, 1, 10.0)
+        broker.ask(ask, _Handler())
+    assert broker.running_count == 4
+    added = Member('r2', 'b:1', 'd', 'desk')
+    directory.set_list(MemberList(members=(*entries, runner, added)))
+    directory.set_live(['e2', 'e3'])
+    broker.refresh(tree)
+    (inventory,) = (each for each in sent if isinstance(each, Inventory))
+    assert len(inventory.held) == broker.running_count
+
+
+# Guards against a slot in use that is freed, as the list of what its instance
+# holds is older than the grant.
+def test_late_list_of_held_requests_frees_no_later_grant(clock, tree):
+    answers = []
+    owner = Owner(clock, lambda _, message: answers.append(message))
+    owner.set_tree(tree)
+    owner.set_endpoints('desk', [RunnerEndpoint('r1', 'a:1')])
+    owner.take_over('desk', ())
+    owner.handle('e1', Ask('desk', 'q0', 'lookup', 'ann', 1, 1, 60.0))
+    clock.advance(6)
+    owner.tick()
+    asked = answers[-1]
+    assert isinstance(asked, HeldAsk)
+    owner.handle('e1', Ask('desk', 'q1', 'lookup', 'ann', 1, 1, 60.0))
+    clock.advance(1.2)
+    owner.handle('e1', HeldList('desk', ('q0',), asked.asked_at))
+    assert owner.get_shard('desk').running_count == 2
+
+
+# Guards against a question each second to each instance with long requests.
+def test_instance_that_still_holds_its_requests_is_asked_again_later(
+    clock, tree
+):
+    answers = []
+    owner = Owner(clock, lambda _, message: answers.append(message))
+    owner.set_tree(tree)
+    owner.set_endpoints('desk', [RunnerEndpoint('r1', 'a:1')])
+    owner.take_over('desk', ())
+    owner.handle('e1', Ask('desk', 'q0', 'lookup', 'ann', 1, 1, 60.0))
+    asked = []
+    for _ in range(20):
+        clock.advance(1)
+        answers.clear()
+        owner.tick()
+        for question in list(answers):
+            asked.append(question)
+            owner.handle('e1', HeldList('desk', ('q0',), question.asked_at))
+    assert owner.get_shard('desk').running_count == 1
+    assert 2 <= len(asked) <= 4
