Tell the only version from a view that covers the present

Callers saw: beside a release, an instance that had been suspended or cut off let streams that began at the second version go on at the first one.

Cause: an instance took the runners that it knew for all that there are, however old its view was; only a view that was never read did not count. The age of the view could not have told either: it starts anew with each report of a peer, also with one that had waited in a buffer during the suspension.

Change: a view is current for 1 s from the start of a read of the registry. Peers state how old the read is that they report, and reports after a silence count only a second later. A take-up at an instance that is not current has the registry read once, for all that wait, within 0.5 s; after 2 s without a read also the stored versions, because a version may have come and gone.

--- a/src/anvilhall/core/messages.py
+++ b/src/anvilhall/core/messages.py
@@ -279,6 +279,8 @@
     #: Version of the settings at the sender if it polls them itself, else -1.
     settings_version: int = -1
     era: int = 0
+    #: Seconds from the start of the sender's read to this message.
+    age_s: float = 0.0
 
     @property
     def position(self) -> Position:
--- a/src/anvilhall/feeds/runners.py
+++ b/src/anvilhall/feeds/runners.py
@@ -5,11 +5,12 @@
 from collections.abc import Callable, Iterable
 
 from anvilhall.clock import Clock
+from anvilhall.core.coverage import MAX_LAG_S, Coverage
 from anvilhall.core.members import Member
 from anvilhall.core.messages import RunnerNews, RunnersOffer, RunnersRead
 from anvilhall.core.positions import Position
 from anvilhall.core.views import RunnerView
-from anvilhall.exceptions import LogUnavailable, UnusableEntry
+from anvilhall.exceptions import LogUnavailable, PlatformError, UnusableEntry
 from anvilhall.feeds.base import Feed
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
@@ -41,6 +42,7 @@
     """
 
     __slots__ = (
+        '_coverage',
         '_notify_peers',
         '_on_change',
         '_region',
@@ -68,6 +70,7 @@
         self._notify_peers = notify_peers
         self._region = region
         self._view = RunnerView()
+        self._coverage = Coverage()
         self._on_change = on_change
 
     def apply_news(self, news: RunnerNews) -> None:
@@ -90,14 +93,49 @@
         """Return the age of the view in seconds; ``None``: never read."""
         return self._view.measure_age_s(self._clock.monotonic())
 
+    @property
+    def lapses(self) -> int:
+        """Number of times that the view was not current for long."""
+        return self._coverage.lapses
+
+    def measure_lag_s(self) -> float | None:
+        """Return the seconds since the registry was surely covered.
+
+        :return: ``None`` if it never was.
+        """
+        return self._coverage.measure_lag_s(self._clock.monotonic())
+
+    def is_current(self) -> bool:
+        """Return whether runners that the view lacks are absent."""
+        lag_s = self.measure_lag_s()
+        return lag_s is not None and lag_s <= MAX_LAG_S
+
+    async def read_now(self) -> None:
+        """Read the whole registry once.
+
+        :raises PlatformError: if the store does not answer.
+        """
+        began_at = self._clock.monotonic()
+        try:
+            page = await self._store.list_newest(self._topic)
+        except PlatformError as error:
+            self._metrics.platform_failures.labels(
+                self._topic, error.code
+            ).inc()
+            raise
+        self._apply_page(page, began_at, complete=True)
+
     def compare_read(self, read: RunnersRead) -> bool:
         """Compare the view with that of an instance that read the registry.
 
         :return: whether the own view is the same or newer; if not, the caller
             should ask for all runners.
         """
+        now = self._clock.monotonic()
+        self._coverage.note_report(now)
         if read.digest == self._view.digest:
-            now = self._clock.monotonic()
+            if read.position >= self._view.covers:
+                self._coverage.note_same(read.age_s, read.era, now)
             self._view.note_contact(now)
             self._view.note_era(read.era, now)
             self._view.covers = max(self._view.covers, read.position)
@@ -140,12 +178,13 @@
                 reader=self._is_reader(),
                 age_s=self.measure_age_s(),
             )
+        began_at = self._clock.monotonic()
         page = await self._store.list_newest(self._topic)
-        self._apply_page(page, complete=True, notify=not first)
+        self._apply_page(page, began_at, complete=True, notify=not first)
         while self._is_reader():
             await asyncio.sleep(_RUNNERS_INTERVAL_S)
-            page = await self._read(page.end)
-            self._apply_page(page, complete=False)
+            began_at, page = await self._read(page.end)
+            self._apply_page(page, began_at, complete=False)
 
     def _is_read_due(self) -> bool:
         age_s = self.measure_age_s()
@@ -160,10 +199,12 @@
                 age_s = self.measure_age_s() or 0.0
                 await self._sleep_until_stale(age_s, _MAX_VIEW_AGE_S)
 
-    async def _read(self, start: Position) -> KeyedPage:
+    async def _read(self, start: Position) -> tuple[float, KeyedPage]:
+        """Return when the call that succeeded began, and what it returned."""
         while True:
+            began_at = self._clock.monotonic()
             try:
-                return await self._store.read(self._topic, start, 0)
+                return began_at, await self._store.read(self._topic, start, 0)
             except LogUnavailable as error:
                 self._record_failure(error)
                 self._expire()
@@ -172,6 +213,7 @@
     def _apply_page(
         self,
         page: KeyedPage,
+        began_at: float,
         *,
         complete: bool,
         notify: bool = True,
@@ -180,6 +222,7 @@
         before = self._view.members
         now = self._clock.monotonic()
         self._view.note_contact(now)
+        self._coverage.note_read(began_at, page.end.era, now)
         self._view.note_era(page.end.era, now)
         for record in page.records:
             self._apply_record(record, now)
@@ -193,7 +236,12 @@
         self._publish_changes(before, 'store', notify=notify)
         covers = self._view.covers
         self._notify_peers(
-            RunnersRead(covers.offset, self._view.digest, era=covers.era),
+            RunnersRead(
+                covers.offset,
+                self._view.digest,
+                era=covers.era,
+                age_s=now - began_at,
+            ),
         )
 
     def _expire(self) -> None:
--- a/src/anvilhall/origins.py
+++ b/src/anvilhall/origins.py
@@ -30,6 +30,9 @@
 
 #: Upper limit of the seconds for which a look-up may wait for the store.
 _LOOKUP_TIMEOUT_S = 0.7
+#: Upper limit of the seconds of these for which the known versions may be
+#: brought up to date, so that the journal can be searched without.
+_CATCH_UP_TIMEOUT_S = 0.5
 #: ``Retry-After`` in seconds of a stream whose record may be on its way.
 _RETRY_S = 0.5
 #: Seconds from the first read of the stored versions to the first write, in
@@ -67,6 +70,7 @@
     """
 
     __slots__ = (
+        '_catching_up',
         '_clock',
         '_histories',
         '_journal',
@@ -76,7 +80,6 @@
         '_owns_pool',
         '_pool_split_at',
         '_read_stored',
-        '_reading',
         '_recorded',
         '_settings',
         '_split_at',
@@ -84,6 +87,7 @@
         '_store_versions',
         '_stored',
         '_stored_at',
+        '_stored_lapses',
         '_view',
     )
 
@@ -117,8 +121,10 @@
         self._stored: dict[str, frozenset[str]] = {}
         #: Monotonic time of the first read of these; ``None``: not read.
         self._stored_at: float | None = None
-        #: Held while they are read on demand.
-        self._reading = asyncio.Lock()
+        #: Lapses of the view that are made up for by a read of these.
+        self._stored_lapses = 0
+        #: Last read of versions on demand; ``None``: there was none.
+        self._catching_up: asyncio.Task[None] | None = None
         #: Pools whose streams are recorded in the journal: they may have begun
         #: at several versions, or a route's identifiers may have selected
         #: other pools when they began.
@@ -269,15 +275,53 @@
             # The stream may have begun in another pool, or the runners that
             # are known may not be all.
             return None
-        if self._is_mixed(pool):
+        if self._is_mixed(pool) or not await self._catch_up():
             return None
-        if self._stored_at is None:
-            async with self._reading:
-                if self._stored_at is None:
-                    await self._read_stored()
         versions = self._list_versions(pool)
         return next(iter(versions)) if len(versions) == 1 else None
 
+    async def _catch_up(self) -> bool:
+        """Have the known versions cover the present.
+
+        :return: whether they do.
+        """
+        if self._is_caught_up:
+            return True
+        # The read goes on without those that ask for it, so that a slow store
+        # helps the next ones.
+        if self._catching_up is None or self._catching_up.done():
+            self._catching_up = asyncio.ensure_future(self._read_versions())
+        try:
+            async with asyncio.timeout(_CATCH_UP_TIMEOUT_S):
+                await asyncio.shield(self._catching_up)
+        except TimeoutError:
+            log_event('versions_unconfirmed', reason='no answer in time')
+        return self._is_caught_up
+
+    @property
+    def _is_caught_up(self) -> bool:
+        return (
+            self._view.is_current()
+            and self._stored_at is not None
+            and self._stored_lapses == self._view.lapses
+        )
+
+    async def _read_versions(self) -> None:
+        """Read what the known versions lack: runners, stored versions."""
+        lag_s = self._view.measure_lag_s()
+        try:
+            if not self._view.is_current():
+                await self._view.read_now()
+            lapses = self._view.lapses
+            if self._stored_at is None or self._stored_lapses != lapses:
+                # A version may have come and gone between the reads.
+                await self._read_stored()
+                self._stored_lapses = lapses
+        except PlatformError as error:
+            log_event('versions_unconfirmed', reason=str(error), lag_s=lag_s)
+        else:
+            log_event('versions_confirmed', lag_s=lag_s)
+
     def _check_origin(
         self, origin: Origin, route: Route, source: str
     ) -> ResumedOrigin:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -7,8 +7,9 @@
 import msgspec
 import pytest
 
+from anvilhall.core.coverage import MAX_LAG_S
 from anvilhall.core.members import Member
-from anvilhall.core.messages import RunnerNews
+from anvilhall.core.messages import RunnerNews, RunnersRead
 from anvilhall.core.positions import Position
 from anvilhall.exceptions import LogUnavailable, StoreRestored
 from anvilhall.feeds.runners import RunnersFeed
@@ -242,3 +243,59 @@
     run_scenario(scenario)
     assert [line['came'] for line in lines] == [['r2'], ['r2']]
     assert [line['versions'] for line in lines] == [{'r2': 'v1'}, {'r2': 'v2'}]
+
+
+# Guards against reads that instances in step don't need.
+def test_views_of_instances_in_step_are_current_all_along(run_scenario):
+    async def scenario(fleet):
+        for count in range(200):
+            if count % 50 == 0:
+                fleet.registry.write(f'r{count}')
+            await asyncio.sleep(0.1)
+            assert all(feed.is_current() for feed in fleet.feeds.values())
+        assert not any(feed.lapses for feed in fleet.feeds.values())
+
+    run_scenario(scenario)
+
+
+# Guards against a view that counts as current because it is all that an
+# instance knows.
+def test_view_of_an_instance_that_is_cut_off_is_not_current(run_scenario):
+    async def scenario(fleet):
+        fleet.partitioned = {'third'}
+        fleet.registry.unreachable_from = {'third'}
+        await asyncio.sleep(MAX_LAG_S + 0.1)
+        third = fleet.feeds['third']
+        assert not third.is_current()
+        with pytest.raises(LogUnavailable):
+            await third.read_now()
+        fleet.registry.write('r2')
+        await asyncio.sleep(5.0)
+        fleet.partitioned = set()
+        fleet.registry.unreachable_from = set()
+        assert not third.is_current()
+        await third.read_now()
+        assert third.is_current()
+        assert third.lapses == 1
+        assert fleet.states('third') == {'r1': False, 'r2': False}
+        assert fleet.feeds['second'].is_current()
+
+    run_scenario(scenario)
+
+
+# Guards against messages that have waited while an instance was suspended,
+# and state what it believes anyway.
+def test_waiting_reports_do_not_make_an_old_view_current(run_scenario):
+    async def scenario(fleet):
+        third = fleet.feeds['third']
+        fleet.partitioned = {'third'}
+        fleet.registry.unreachable_from = {'third'}
+        offset = third.build_offer().position.offset
+        report = RunnersRead(offset, third._view.digest, era=1)
+        fleet.registry.write('r2')
+        await asyncio.sleep(5.0)
+        assert all(third.compare_read(report) for _ in range(4))
+        assert third.measure_age_s() == 0.0
+        assert not third.is_current()
+
+    run_scenario(scenario)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -7,6 +7,7 @@
 import pytest
 
 from anvilhall.clock import ManualClock
+from anvilhall.core.coverage import MAX_LAG_S
 from anvilhall.core.members import Member
 from anvilhall.core.messages import Grant
 from anvilhall.exceptions import LogUnavailable, VersionUnknown
@@ -41,16 +42,42 @@
 
 
 class FakeView:
-    """Feed whose view of the runners may be incomplete."""
+    """Feed whose view of the runners may be old or incomplete."""
 
     def __init__(self):
         """Start with a view that was read just now."""
         self.age_s = 0.0
+        #: Seconds since the registry was surely covered.
+        self.lag_s = 0.0
+        self.lapses = 0
+        self.reads = 0
+        #: Called at each read; may have runners listed, or raise.
+        self.on_read = lambda: None
 
     def measure_age_s(self):
         """Return the age of the view."""
         return self.age_s
 
+    def measure_lag_s(self):
+        """Return the seconds since the registry was surely covered."""
+        return self.lag_s
+
+    def is_current(self):
+        """Return whether the view covers the present."""
+        return self.lag_s is not None and self.lag_s <= MAX_LAG_S
+
+    async def read_now(self):
+        """Read the registry."""
+        self.reads += 1
+        await asyncio.sleep(0)
+        self.on_read()
+        self.lag_s = 0.0
+
+    def suspend(self):
+        """Have the view miss what has happened in some seconds."""
+        self.lag_s = 5.0
+        self.lapses += 1
+
 
 class Desk:
     """Origins of one instance and all that they are connected to."""
@@ -115,6 +142,17 @@
         found = asyncio.run(self.origins.find(account, request_id, route, POOL))
         return found.source, found.version
 
+    async def find_all(self, *request_ids):
+        """Return the versions of streams that are looked up at once."""
+        route = self.settings.table.find(HOST, '/chat/1')
+        found = await asyncio.gather(
+            *(
+                self.origins.find('ann', request_id, route, POOL)
+                for request_id in request_ids
+            )
+        )
+        return {each.version for each in found}
+
     def wait(self, seconds):
         """Let time pass."""
         self.clock.advance(seconds)
@@ -173,6 +211,147 @@
         desk.find('id-1')
 
 
+# Guards against a version that has come while this instance was out of step.
+def test_old_view_is_read_again_before_anything_is_concluded(desk):
+    desk.serve('v1')
+    assert desk.find('id-1') == ('sole', 'v1')
+    desk.view.suspend()
+    desk.view.on_read = lambda: desk.serve('v1', 'v2')
+    with pytest.raises(VersionUnknown):
+        desk.find('id-2')
+    assert desk.view.reads == 1
+
+
+def test_old_view_that_the_registry_confirms_is_enough(desk):
+    desk.serve('v1')
+    assert desk.find('id-1') == ('sole', 'v1')
+    desk.view.suspend()
+    assert desk.find('id-2') == ('sole', 'v1')
+    assert (desk.view.reads, desk.reads) == (1, 2)
+    assert not desk.journal.searched
+
+
+# Guards against reads by each of many take-ups.
+def test_take_ups_share_the_reads_of_an_old_view(desk):
+    desk.serve('v1')
+    desk.find('id-1')
+    desk.view.suspend()
+    found = asyncio.run(desk.find_all(*(f'id-{one}' for one in range(20))))
+    assert found == {'v1'}
+    assert (desk.view.reads, desk.reads) == (1, 2)
+
+
+# Guards against reads that a current view does not need.
+def test_current_view_is_not_read_again(desk):
+    desk.serve('v1')
+    for count in range(20):
+        desk.view.lag_s = MAX_LAG_S
+        assert desk.find(f'id-{count}') == ('sole', 'v1')
+    assert (desk.view.reads, desk.reads) == (0, 1)
+
+
+# Guards against a version that has come and gone while this instance was out
+# of step, after which its view was read without any take-up.
+def test_version_that_came_and_went_unseen_counts(desk):
+    desk.serve('v1')
+    assert desk.find('id-1') == ('sole', 'v1')
+    desk.view.lapses += 1
+    desk.stored = {POOL: ('v1', 'v2')}
+    with pytest.raises(VersionUnknown):
+        desk.find('id-2')
+
+
+def _fail():
+    raise LogUnavailable('down')
+
+
+def test_journal_is_asked_if_an_old_view_can_not_be_confirmed(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v2')
+    ((key, origin),) = desk.journal.added
+    other = Desk()
+    other.serve('v1')
+    other.find('id-0')
+    other.view.suspend()
+    other.view.on_read = _fail
+    with pytest.raises(VersionUnknown):
+        other.find('id-0')
+    other.journal.recorded[key] = origin
+    assert other.find('id-1') == ('journal', 'v2')
+
+
+# Guards against take-ups that wait for a silent store until their callers
+# give up, and find no time to look elsewhere.
+def test_silent_store_leaves_time_for_the_journal(desk):
+    desk.serve('v1', 'v2')
+    desk.begin('id-1', 'v2')
+    ((key, origin),) = desk.journal.added
+    other = Desk()
+    other.serve('v1')
+    other.find('id-0')
+    other.view.suspend()
+    other.view.read_now = lambda: asyncio.sleep(60)
+    other.journal.recorded[key] = origin
+    assert other.find('id-1') == ('journal', 'v2')
+
+
+# Guards against refusals for as long as a store is slow.
+def test_slow_read_goes_on_without_its_caller(desk):
+    desk.serve('v1')
+    desk.find('id-1')
+    desk.view.suspend()
+    read_now = desk.view.read_now
+
+    async def read_slowly():
+        await asyncio.sleep(0.6)
+        await read_now()
+
+    desk.view.read_now = read_slowly
+
+    async def scenario():
+        with pytest.raises(VersionUnknown):
+            await desk.find_all('id-2')
+        await asyncio.sleep(0.3)
+        return await desk.find_all('id-2')
+
+    assert asyncio.run(scenario()) == {'v1'}
+    assert desk.view.reads == 1
+
+
+# Guards against calls of each of many take-ups to a store that is away.
+def test_take_ups_share_a_read_that_fails(desk):
+    desk.serve('v1')
+    desk.find('id-0')
+    desk.view.suspend()
+    desk.view.on_read = _fail
+
+    async def scenario():
+        lookups = (desk.find_all(f'id-{one}') for one in range(20))
+        return await asyncio.gather(*lookups, return_exceptions=True)
+
+    errors = asyncio.run(scenario())
+    assert {type(each) for each in errors} == {VersionUnknown}
+    assert desk.view.reads == 1
+
+
+# Guards against a read that does not make the view complete.
+def test_nothing_is_concluded_from_a_read_of_an_incomplete_registry(desk):
+    desk.serve('v1')
+    desk.find('id-1')
+    desk.view.suspend()
+    desk.view.read_now = lambda: asyncio.sleep(0)
+    with pytest.raises(VersionUnknown):
+        desk.find('id-2')
+
+
+def test_own_streams_go_on_while_the_view_is_old(desk):
+    desk.serve('v1')
+    desk.begin('id-1', 'v1')
+    desk.view.suspend()
+    desk.view.on_read = _fail
+    assert desk.find('id-1') == ('memory', 'v1')
+
+
 def test_version_that_left_counts_for_the_retention(desk):
     desk.serve('v1')
     desk.serve('v2')
