Store versions only from a view that covers the present

Callers saw: nothing so far; found beside the streams that went on at another version after a suspension.

Cause: an owner that was suspended beyond the retention time wrote, as it went on, the versions that it had known before, less those that were too old by now. That overwrote what its deputy had written of a release meanwhile. Until an instance read the record and wrote it again, up to 60 s later, one that started could take the remaining version for the only one.

Change: an owner writes nothing while its view is not current, and a new owner counts as such until it has had a current one.

Evidence: the two new tests in tests/test_origins.py fail before the change and pass with it.

--- a/src/anvilhall/origins.py
+++ b/src/anvilhall/origins.py
@@ -189,15 +189,20 @@
         """Compare versions with the records; call this from time to time."""
         now = self._clock.monotonic()
         self._drop_splits(now)
+        current = self._view.is_current()
         owned: set[str] = set()
         recorded = set(self._pool_split_at)
         for pool in self._list_pools():
             versions = self._histories.list_versions(pool, now)
             if len(versions) > 1:
                 recorded.add(pool)
-            if self._owns_pool(pool):
-                owned.add(pool)
+            if not self._owns_pool(pool):
+                continue
+            if current:
                 self._update_stored(pool, versions, now)
+            # Otherwise another owner may have written more than is known here.
+            if current or pool in self._owned:
+                owned.add(pool)
         self._owned = frozenset(owned)
         added = recorded - self._recorded
         self._recorded = frozenset(recorded)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -471,6 +471,37 @@
     assert not desk.written
 
 
+# Guards against an owner that was out of step and overwrites what its deputy
+# has written meanwhile.
+def test_owner_writes_no_versions_while_its_view_is_old(desk):
+    desk.serve('v0')
+    desk.serve('v1')
+    desk.origins.apply_stored({POOL: ('v0', 'v1')}, restored=False)
+    desk.wait(5)
+    desk.view.suspend()
+    desk.wait(desk.journal.retention_s + 1)
+    assert not desk.written
+    desk.view.lag_s = 0.0
+    desk.serve('v1', 'v2')
+    assert desk.written == [{'v1', 'v2'}]
+
+
+# Guards against a record of a former owner that a new one leaves as it is
+# because its view was old at first.
+def test_new_owner_writes_again_once_its_view_is_current(desk):
+    desk.owned = set()
+    desk.serve('v1', 'v2')
+    desk.origins.apply_stored({POOL: ('v1', 'v2')}, restored=False)
+    desk.wait(5)
+    desk.owned = {POOL}
+    desk.view.lag_s = 5.0
+    desk.wait(1)
+    assert not desk.written
+    desk.view.lag_s = 0.0
+    desk.wait(1)
+    assert desk.written == [{'v1', 'v2'}]
+
+
 # Guards against a record that a former owner has written since the last read.
 def test_new_owner_writes_several_versions_again(desk):
     desk.owned = set()
