Send streams that begin to the instance that records them at once

What callers saw: after a loss of power of all or nearly all instances while two versions served, a fifth of the streams that they took up again were refused with version_unknown, in one loss 15 of 29.

Cause: a stream was collected twice before its record was safe: 0.2 s at the instance that began it and 0.2 s at the reader of the failure domain. Both are lost together.

Change: an instance that sends its streams to the reader collects them for 0.02 s; only the one that appends collects for 0.2 s, so the calls to the store stay as few.

Evidence: test_streams_are_sent_on_soon fails before the change and passes after it.

Limit: the first streams that an instance records still wait for 0.2 s, as it learns by sending them whether another instance appends.

--- a/src/anvilhall/feeds/streams.py
+++ b/src/anvilhall/feeds/streams.py
@@ -36,8 +36,11 @@
 from anvilhall.metrics import Metrics
 from anvilhall.platform.store import STREAMS_TOPIC, StoreClient
 
-#: Seconds in which the streams of one append or message are collected.
+#: Seconds in which the streams of one append, and of one message to another
+#: instance, are collected. Until the append they are lost if both instances
+#: are; unlike calls to the store, messages within a failure domain are cheap.
 _COLLECT_S = 0.2
+_FORWARD_S = 0.02
 #: Seconds for which streams are kept that were sent to another instance. If it
 #: is replaced, they are recorded again: it may have been lost with them, and a
 #: link to a lost instance stays open for some seconds.
@@ -130,7 +133,7 @@
         while True:
             if not self._queue:
                 await self._wakeup.wait()
-            await asyncio.sleep(_COLLECT_S)
+            await asyncio.sleep(_FORWARD_S if self._receiver else _COLLECT_S)
             self._wakeup.clear()
             while self._queue:
                 await self._write()
--- a/tests/test_feeds_streams.py
+++ b/tests/test_feeds_streams.py
@@ -169,6 +169,22 @@
     run_bench(scenario)
 
 
+# Guards against streams that are unknown after a loss of all instances because
+# they were collected twice, here and at the instance that appends them.
+def test_streams_are_sent_on_soon(run_bench):
+    async def scenario(bench):
+        bench.reader = 'i2'
+        bench.journal.add(KEYS[0], V1)
+        await asyncio.sleep(1)
+        bench.forwarded.clear()
+        for key in KEYS[1:]:
+            bench.journal.add(key, V1)
+        await asyncio.sleep(0.05)
+        assert bench.forwarded == [{'llm': {'v1': b''.join(KEYS[1:])}}]
+
+    run_bench(scenario)
+
+
 # Guards against streams that are lost with the instance that appends them.
 def test_streams_sent_to_a_lost_instance_are_recorded_again(run_bench):
     async def scenario(bench):
