Count faults of this program beside a stalled stream

An exception in an attempt that is tried beside a stalled one ended that attempt only: the stream stayed whole, but nothing was logged or counted. It is counted as an internal error now, like one that ends a request.

Evidence: the new test failed before the change (no error counted) and passes now; nothing was seen of such a fault in any run.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -285,7 +285,10 @@
         with pending.hold(self._services.broker, ask):
             attempt = self._build_attempt(grant)
         return Successor(
-            attempt, self._exchange(attempt, pending, ask), attempt.close
+            attempt,
+            self._exchange(attempt, pending, ask),
+            attempt.close,
+            self._services.metrics,
         )
 
     async def _attempt(self) -> None:
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -16,7 +16,7 @@
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, get_request_id, name_grant
-from anvilhall.exceptions import AnvilhallError, RequestRefused
+from anvilhall.exceptions import RequestRefused
 from anvilhall.grants import PendingGrant
 from anvilhall.logs import log_event
 from anvilhall.successors import Successor
@@ -283,12 +283,11 @@
 
     def _handle_failure(self, error: BaseException) -> None:
         """Stay with the stalled attempt, as the new one has failed."""
-        if self._moved or self._successor is None:
+        successor = self._successor
+        if self._moved or successor is None:
             return
         self._successor = None
-        self._reason = type(error).__name__
-        if isinstance(error, AnvilhallError):
-            self._reason = f'{error.code}: {error.reason}'
+        self._reason = successor.describe_failure(error)
         self._schedule_repeat()
 
     def _move(self) -> None:
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -239,6 +239,7 @@
             attempt,
             self._exchange(attempt, ask),
             functools.partial(self._end_attempt, attempt),
+            self._services.metrics,
         )
 
     async def _wait_for_grant(self, pending: PendingGrant, ask: Ask) -> Grant:
--- a/src/anvilhall/successors.py
+++ b/src/anvilhall/successors.py
@@ -5,6 +5,9 @@
 from typing import Any, Protocol
 
 from anvilhall.core.messages import Grant
+from anvilhall.exceptions import AnvilhallError
+from anvilhall.faults import report_internal_error
+from anvilhall.metrics import Metrics
 from anvilhall.outbound import Transfer
 
 
@@ -35,20 +38,30 @@
     :param attempt: not sent yet.
     :param exchange: sends it and forwards its response.
     :param end: closes the attempt and releases its grant.
+    :param metrics: counts faults of this program.
     """
 
-    __slots__ = ('_end', '_ended', '_failure_handler', '_task', 'attempt')
+    __slots__ = (
+        '_end',
+        '_ended',
+        '_failure_handler',
+        '_metrics',
+        '_task',
+        'attempt',
+    )
 
     def __init__(
         self,
         attempt: SuccessorAttempt,
         exchange: Coroutine[Any, Any, None],
         end: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         """Create the task; it begins after the caller has returned."""
         self.attempt = attempt
         self._end = end
         self._ended = False
+        self._metrics = metrics
         self._failure_handler: Callable[[BaseException], None] | None = None
         self._task = asyncio.ensure_future(exchange)
         # A task that is cancelled before its first step runs no code.
@@ -68,6 +81,14 @@
         self.attempt.begin_handler = begin_handler
         self._failure_handler = failure_handler
 
+    def describe_failure(self, error: BaseException) -> str:
+        """Return why the attempt failed; report a fault of this program."""
+        if isinstance(error, AnvilhallError):
+            return f'{error.code}: {error.reason}'
+        if isinstance(error, Exception):
+            report_internal_error(self._metrics, error)
+        return type(error).__name__
+
     async def wait(self) -> None:
         """Wait for the end of the attempt.
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -113,6 +113,9 @@
         self.begin = begin_handler
         self.fail = failure_handler
 
+    def describe_failure(self, error):
+        return f'{error.code}: {error.reason}'
+
     def cancel(self):
         self.cancelled = True
 
--- a/tests/test_silent_runner.py
+++ b/tests/test_silent_runner.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from anvilhall.attempts import RelayAttempt
 from anvilhall.exceptions import UpstreamCut
 from anvilhall_standins.platform.received import build_event
 from tests.site import make_manifest, make_route, run_site, wait_until
@@ -532,3 +533,26 @@
             assert await _stream(site, 2) == BODY
 
     asyncio.run(scenario())
+
+
+# Guards against a fault of this program that ends a sound stream, or is not
+# seen, as it occurs beside the stream.
+def test_fault_while_a_runner_is_tried_is_counted(monkeypatch):
+    run = RelayAttempt.run
+
+    async def fail_at_second(attempt, last_event_id):
+        if attempt.grant.runner == 'llm-1':
+            raise RuntimeError('no exchange')
+        await run(attempt, last_event_id)
+
+    async def scenario():
+        monkeypatch.setattr(RelayAttempt, 'run', fail_at_second)
+        async with _try_second_runner(1.6, '') as (site, task):
+            assert await task == BODY
+            assert len(site.runners['llm-0'].runs) == 1
+            metrics = site.gateways['g1'].context.services.metrics
+            faults = metrics.internal_errors.labels('RuntimeError')
+            assert faults._value.get() >= 1
+            await wait_until(lambda: _is_released(site))
+
+    asyncio.run(scenario())
