Keep no body in the tracebacks and cycles of failed attempts

Cause, one part of it: an error that is passed to the function that raises it, or raised from itself, refers to itself through its traceback, and to all that the functions on the way held: the call with its body, the attempt and its request. An attempt and its handover refer to each other.

Change: failures are raised where they are made, an ended attempt forgets its handover and its failure, and an exchange the call.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -180,15 +180,15 @@
                 self._handle_head,
             )
         except AnvilhallError as error:
-            self._raise_failure(self._classify_failure(error))
+            self._problem = self._classify_failure(error)
         finally:
             if self._job.route.streaming:
                 services.activity.end(
                     self.grant.runner, begun=self.first_token_s > 0
                 )
-        problem = self._problem or self._check_end()
-        if problem:
-            self._raise_failure(problem)
+        self._problem = self._problem or self._check_end()
+        if self._problem:
+            raise self._note_failure(self._problem)
         self._flush()
         self.served = True
 
@@ -243,6 +243,9 @@
             self.handover.close()
 
     def _release(self) -> None:
+        # Both refer to this attempt.
+        self._problem = None
+        self.handover = None
         if not self.served:
             self.transfer.abort()
         self._services.broker.release(
@@ -452,14 +455,14 @@
             self._forwarding = False
             self._listener.drop_partial()
 
-    def _raise_failure(self, error: AnvilhallError) -> None:
+    def _note_failure(self, error: AnvilhallError) -> AnvilhallError:
         self._drop_partial()
         if not isinstance(error, RequestRefused) or isinstance(
             error,
             UpstreamFull | UpstreamRefused | UpstreamReplaced,
         ):
             self.failure = error.code
-        raise error
+        return error
 
     def _classify_failure(self, error: AnvilhallError) -> AnvilhallError:
         if self._problem:
--- a/src/anvilhall/faults.py
+++ b/src/anvilhall/faults.py
@@ -31,6 +31,20 @@
     return InternalRefusal(reason, _RETRY_AFTER_S)
 
 
+def drop_tracebacks(error: BaseException | None) -> None:
+    """Forget where an error and its causes were raised.
+
+    An error that is kept by a function which it has passed through would keep
+    all that these functions refer to until the garbage collector runs.
+    """
+    while error is not None:
+        cause = error.__cause__ or error.__context__
+        error.__traceback__ = None
+        error.__cause__ = None
+        error.__context__ = None
+        error = cause
+
+
 def report_internal_error(metrics: Metrics, error: BaseException) -> None:
     """Log and count an exception that is a fault of this program."""
     kind = type(error).__name__
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -161,15 +161,14 @@
             body is too large.
         """
         parts: list[bytes] = []
-        reply = await self._run(
+        exchange = _Exchange(
             call,
-            _Exchange(
-                call,
-                transfer or Transfer(),
-                parts.append,
-                body_limit_bytes=call.gather_limit_bytes,
-            ),
+            transfer or Transfer(),
+            parts.append,
+            body_limit_bytes=call.gather_limit_bytes,
         )
+        del call
+        reply = await self._run(exchange)
         return Reply(reply.status, reply.headers, b''.join(parts))
 
     async def stream(
@@ -190,17 +189,23 @@
         :raises UpstreamStalled: if it timed out after it was sent.
         :raises UpstreamCut: if the exchange failed after it was sent.
         """
-        return await self._run(call, _Exchange(call, transfer, sink, head_sink))
+        exchange = _Exchange(call, transfer, sink, head_sink)
+        del call
+        return await self._run(exchange)
 
-    async def _run(self, call: Call, exchange: '_Exchange') -> Reply:
+    async def _run(self, exchange: '_Exchange') -> Reply:
         if self._driver is None:
             self._driver = CurlDriver()
+        call = exchange.call
         fresh = call.fresh or self._requires_fresh_connection(call)
         try:
             return await exchange.run(self._driver, fresh=fresh)
         finally:
             if exchange.ended_within_head:
                 self._avoid_pooled_connections(call)
+            # Tracebacks of errors must not keep the body.
+            exchange.drop_call()
+            del call
 
     def _avoid_pooled_connections(self, call: Call) -> None:
         now = asyncio.get_running_loop().time()
@@ -224,7 +229,6 @@
     __slots__ = (
         '_body_limit_bytes',
         '_body_size',
-        '_call',
         '_done',
         '_driver',
         '_excess',
@@ -241,6 +245,7 @@
         '_transfer',
         '_turn',
         '_turn_chunks',
+        'call',
     )
 
     def __init__(
@@ -251,7 +256,8 @@
         head_sink: Callable[[int, HTTPHeaders], None] | None = None,
         body_limit_bytes: int = 0,
     ) -> None:
-        self._call = call
+        #: The request, until the exchange has ended.
+        self.call = call
         self._transfer = transfer
         self._sink = sink
         self._head_sink = head_sink
@@ -286,6 +292,10 @@
             self._result[0] or self._head_complete
         )
 
+    def drop_call(self) -> None:
+        """Forget the request, which has been sent or will not be."""
+        del self.call
+
     async def run(self, driver: CurlDriver, *, fresh: bool) -> Reply:
         if self._transfer.aborted:
             raise UpstreamRefused('aborted by this instance')
@@ -326,7 +336,7 @@
             self._done.set_result(None)
 
     def _set_options(self, handle: pycurl.Curl, *, fresh: bool) -> None:
-        call = self._call
+        call = self.call
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         handle.setopt(pycurl.PROXY, '')
