Bound the memory of bodies, and free each when its request ends

Cause: RelayRequest and Relay refer to each other and the relay's job holds the body, so it lived on until the garbage collector ran. Nothing bounded the bytes of all bodies together.

Change: an ended request drops its body and its relay. The process gets its limit of memory from its settings (memory_mb). Memory for a body is reserved by its declared length when the head arrives, or as chunks arrive, and released when the request ends; unsent answers take from the same memory. An account may hold as much as is free, requests of the highest tier twice that: some is left for others however much one account sends. Beyond it a request is refused as not run (memory_full, 503 with Retry-After); its body is read and not kept, as closing with unread bytes might lose the answer.

--- a/src/anvilhall/exceptions.py
+++ b/src/anvilhall/exceptions.py
@@ -120,6 +120,15 @@
     code = 'overloaded'
 
 
+class MemoryFull(RequestRefused):
+    """The instance has no memory left for the request's body.
+
+    What a client account may hold depends on what is free.
+    """
+
+    code = 'memory_full'
+
+
 class TooManyConnections(RequestRefused):
     """The instance has reached the limit on open requests in its settings."""
 
--- a/src/anvilhall/gateway.py
+++ b/src/anvilhall/gateway.py
@@ -9,6 +9,7 @@
 
 from anvilhall.clock import Clock
 from anvilhall.core.members import Member, MemberList
+from anvilhall.core.memory import compute_body_limit
 from anvilhall.core.messages import (
     Heartbeat,
     Message,
@@ -197,6 +198,7 @@
             services,
             lambda: self._settings_feed.settings,
             self._runners_feed.measure_age_s,
+            compute_body_limit(config.memory_mb),
         )
         self._suspects: frozenset[tuple[str, str]] = frozenset()
         self._server = RelayServer(self.context, RequestLimits())
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -5,6 +5,7 @@
 
 import pathlib
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -113,6 +114,9 @@
     #: Share of the machine's CPU for this process, and its speed in cores.
     cpu_share: float = 0.0
     cpu_speed: float = 1.0
+    #: Memory of this process, in megabytes, which bounds the bodies that it
+    #: holds; ``None``: not bounded.
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
     #: Secret shared by all instances, which authenticates their links.
     peer_key: str
     tls: Tls | None = None
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import socket
 import weakref
 from collections.abc import Callable
@@ -21,12 +22,13 @@
 )
 from tornado.iostream import IOStream
 
+from anvilhall.bodies import RequestBody
 from anvilhall.callers import (
     REQUEST_ID_HEADER,
     SLOW_CALLER,
     encode_error,
-    exceeds_limit,
 )
+from anvilhall.core.memory import MemoryBudget
 from anvilhall.core.messages import name_grant
 from anvilhall.core.routes import RequestLimits, RoutingSettings
 from anvilhall.dialect import RequestHead
@@ -41,7 +43,7 @@
     ShuttingDown,
     UnknownAccount,
 )
-from anvilhall.faults import report_internal_error
+from anvilhall.faults import drop_tracebacks, report_internal_error
 from anvilhall.local import split_address
 from anvilhall.logs import log_event
 from anvilhall.parsing import get_refusal, log_refusals
@@ -68,8 +70,6 @@
 )
 #: Bits of the random number in the identifier of a request's asks.
 _ASK_ID_BITS = 48
-#: Digits of a declared length in an error message.
-_SHOWN_DIGITS = 18
 #: Factor on the idle timeout of the settings. Callers reuse a connection until
 #: shortly before that timeout, so the server must close it later.
 _IDLE_MARGIN = 1.1
@@ -82,6 +82,7 @@
     :param get_settings: returns the current routing settings, or ``None``.
     :param measure_view_age_s: returns the age of the runner list in seconds,
         or ``None`` if it has never been read.
+    :param memory_bytes: most bytes of bodies and unsent answers together.
     """
 
     __slots__ = (
@@ -90,6 +91,7 @@
         'closing',
         'idle',
         'measure_view_age_s',
+        'memory',
         'open',
         'services',
         'unsent',
@@ -100,8 +102,10 @@
         services: RelayServices,
         get_settings: Callable[[], RoutingSettings | None],
         measure_view_age_s: Callable[[], float | None],
+        memory_bytes: float = math.inf,
     ) -> None:
         """Start with no open requests."""
+        self.memory = MemoryBudget(memory_bytes, self._measure_unsent)
         self.measure_view_age_s = measure_view_age_s
         self.services = services
         self._get_settings = get_settings
@@ -116,8 +120,10 @@
         #: Requests whose head has arrived and that have not ended.
         self.open: set[RelayRequest] = set()
         #: Connections on which a part of the last response was still unsent
-        #: when its request ended.
-        self.unsent: weakref.WeakSet[IOStream] = weakref.WeakSet()
+        #: when its request ended, with the bytes of that part.
+        self.unsent: weakref.WeakKeyDictionary[IOStream, int] = (
+            weakref.WeakKeyDictionary()
+        )
 
     @property
     def open_requests(self) -> int:
@@ -191,6 +197,13 @@
         job.deadline_at = job.arrived_at + min(limits)
         return job
 
+    def _measure_unsent(self) -> int:
+        """Return the bytes of responses that are not sent yet."""
+        ended = sum(
+            size for stream, size in self.unsent.items() if stream.writing()
+        )
+        return ended + sum(request.unsent for request in self.open)
+
     def _authenticate(
         self,
         job: RelayJob,
@@ -215,10 +228,7 @@
         self._context = context
         context.idle.add(self)
         self._connection = connection
-        self._body_chunks: list[bytes] = []
-        self._body_size = 0
-        #: Largest body by the settings in force when the head arrived.
-        self._body_limit = 0
+        self._body = RequestBody(context.memory)
         self._job: RelayJob | None = None
         self._task: asyncio.Task[None] | None = None
         self._relay: Relay | None = None
@@ -235,7 +245,7 @@
         self._host = ''
         self._path = ''
         #: Bytes written but not flushed to the socket yet.
-        self._unsent = 0
+        self.unsent = 0
         #: Whether a write is not flushed yet, and the chunks that follow it.
         #: The connection reports only the last of several writes as flushed.
         self._flushing = False
@@ -249,8 +259,9 @@
         self._context.idle.discard(self)
         self._context.open.add(self)
         self._connection.stream.set_nodelay(True)
-        self._body_limit = self._context.limits.body_bytes
-        self._connection.set_max_body_size(self._body_limit)
+        body_limit = self._context.limits.body_bytes
+        self._body.set_limit(body_limit)
+        self._connection.set_max_body_size(body_limit)
         self._request_id = headers.get(REQUEST_ID_HEADER, '')
         self._host = headers.get('Host', '')
         self._path = start_line.path
@@ -258,8 +269,10 @@
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
         try:
-            self._job = self._context.build_job(start_line, headers)
-            self._check_length(headers)
+            job = self._context.build_job(start_line, headers)
+            self._job = job
+            declared = headers.get('Content-Length', '0')
+            self._body.expect(declared, job.account, job.tier)
         except BodyTooLarge as too_large:
             self._refuse(too_large)
         except AnvilhallError as error:
@@ -272,16 +285,14 @@
         """Buffer a chunk of the request body."""
         if self._response_started or self._error:
             return
-        self._body_size += len(chunk)
-        if self._body_size > self._body_limit:
-            self._body_chunks.clear()
-            self._refuse(
-                BodyTooLarge(
-                    f'got {self._body_size} bytes, limit {self._body_limit}',
-                ),
-            )
-            return
-        self._body_chunks.append(chunk)
+        try:
+            self._body.add(chunk)
+        except BodyTooLarge as too_large:
+            self._body.drop()
+            self._refuse(too_large)
+        except AnvilhallError as error:
+            self._body.drop()
+            self._error = error
 
     def finish(self) -> None:
         """Relay the request, whose body is complete."""
@@ -294,8 +305,7 @@
         if job is None:
             return
         if self._has_body:
-            job.request.body = b''.join(self._body_chunks)
-        self._body_chunks.clear()
+            job.request.body = self._body.take()
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._run(job))
 
@@ -367,11 +377,11 @@
             request_id=self._request_id,
             host=self._host,
             path=self._path,
-            received_bytes=self._body_size,
+            received_bytes=self._body.size,
             relayed=self._task is not None,
             head_written=self._response_started,
             written_bytes=self._written,
-            unsent_bytes=self._unsent,
+            unsent_bytes=self.unsent,
             answered=self._answered,
         )
 
@@ -388,9 +398,9 @@
     def write(self, chunk: bytes) -> None:
         """Send a chunk of the response body."""
         self._context.services.metrics.bytes_relayed.inc(len(chunk))
-        self._unsent += len(chunk)
+        self.unsent += len(chunk)
         self._written += len(chunk)
-        if self._unsent > _UNSENT_LIMIT_BYTES:
+        if self.unsent > _UNSENT_LIMIT_BYTES:
             # The caller does not read, and the buffer must stay bounded.
             self._log_close(SLOW_CALLER)
             self._connection.close()
@@ -420,7 +430,7 @@
         if flushed.cancelled() or flushed.exception() is not None:
             return
         self._flushing = False
-        self._unsent -= size
+        self.unsent -= size
         if not self._answered:
             self._write_next()
 
@@ -437,6 +447,7 @@
             self._release()
             self._close_unanswered()
             self._log_end(job, relay, error)
+            drop_tracebacks(error)
 
     async def _serve(
         self, relay: Relay, job: RelayJob
@@ -526,16 +537,13 @@
             self._release()
             self._log_refusal(error, status)
 
-    def _check_length(self, headers: HTTPHeaders) -> None:
-        declared = headers.get('Content-Length', '0')
-        if exceeds_limit(declared, self._body_limit):
-            raise BodyTooLarge(
-                f'body of {declared[:_SHOWN_DIGITS]} bytes, '
-                f'limit {self._body_limit}',
-            )
-
     def _release(self) -> None:
+        """End the request, and free its body without the garbage collector."""
         self._context.open.discard(self)
+        self._body.drop()
+        if self._job:
+            self._job.request.body = None
+        self._relay = None
 
     def _finish(self) -> None:
         """End the response."""
@@ -544,9 +552,9 @@
         self._answered = True
         stream = self._connection.stream
         if stream.writing():
-            self._context.unsent.add(stream)
+            self._context.unsent[stream] = self.unsent
         else:
-            self._context.unsent.discard(stream)
+            self._context.unsent.pop(stream, None)
 
     def _find_close_reason(self) -> str:
         if self._context.closed:
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -24,6 +24,7 @@
     'port_range.0': '7200',
     'limits.cpu_share|json': '0.5',
     'limits.cores|json': '2',
+    'limits.memory_mb|json': '150',
     'provider.address|json': '"10.0.0.9:8742"',
     'bounds.retry_budget_ratio|json': '0.2',
     'bounds.retry_slack|json': '54',
