Bound and free the bodies of the own interface as well

Cause: tornado's handlers refer to themselves and held the parts of the body; errors held the call through their tracebacks.

Change: the handlers use RequestBody, with the memory of the instance; an ended job forgets its body. The tier of a request is not known before its class, so all count as of tier 0. Bytes for a slow reader of a stream count; answers that are gathered before they are sent do not.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import uuid
 import weakref
 from http import HTTPStatus
@@ -14,11 +15,12 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from anvilhall.answers import AnswerCache, CachedAnswer
+from anvilhall.bodies import RequestBody
+from anvilhall.core.memory import MemoryBudget
 from anvilhall.core.tree import ClientAccount
 from anvilhall.events import decode_answer
 from anvilhall.exceptions import (
     AnvilhallError,
-    BodyTooLarge,
     CallerGone,
     MalformedRequest,
     ShuttingDown,
@@ -26,7 +28,7 @@
     UnknownPath,
 )
 from anvilhall.execution import Execution, Services
-from anvilhall.faults import report_internal_error
+from anvilhall.faults import drop_tracebacks, report_internal_error
 from anvilhall.gate import Gate
 from anvilhall.jobs import ChatBody, Job
 from anvilhall.logs import log_event
@@ -52,8 +54,6 @@
 _STOPPED_RETRY_S = 1.0
 #: Longest idempotency key, in characters.
 _KEY_LIMIT = 255
-#: Digits of a declared length that are decoded or shown.
-_SHOWN_DIGITS = 18
 #: Longest deadline that a caller may set, in seconds.
 _DEADLINE_LIMIT_S = 86400.0
 #: Unsent response bytes above which a slow caller's request is cancelled.
@@ -75,15 +75,27 @@
 class CallerContext:
     """Dependencies shared by all request handlers."""
 
-    __slots__ = ('answer_cache', 'gate', 'open', 'services', 'unsent')
+    __slots__ = (
+        'answer_cache',
+        'gate',
+        'memory',
+        'open',
+        'services',
+        'unsent',
+    )
 
     def __init__(
         self,
         gate: Gate,
         services: Services,
         answer_cache: AnswerCache,
+        memory_bytes: float = math.inf,
     ) -> None:
-        """Store the dependencies."""
+        """Store the dependencies.
+
+        :param memory_bytes: most bytes of bodies and unsent answers together.
+        """
+        self.memory = MemoryBudget(memory_bytes, self._measure_unsent)
         self.gate = gate
         self.services = services
         self.answer_cache = answer_cache
@@ -98,6 +110,10 @@
         """Whether a part of an answer waits for a slow caller."""
         return any(stream.writing() for stream in self.unsent)
 
+    def _measure_unsent(self) -> int:
+        """Return the bytes of the answers that wait for slow callers."""
+        return sum(handler.unsent for handler in self.open)
+
     def shut_down(self) -> None:
         """Answer all open requests with an error, as the instance stops."""
         for handler in list(self.open):
@@ -115,10 +131,11 @@
     def initialize(self, context: CallerContext) -> None:
         """Store the application's context and reset the request's state."""
         self.context = context
-        self._parts: list[bytes] = []
-        self._size = 0
-        #: Largest body by the settings in force when the head arrived.
-        self._body_limit = 0
+        self._body = RequestBody(context.memory)
+        #: Why the body is refused, if it is.
+        self._body_error: AnvilhallError | None = None
+        #: Bytes of the answer that wait for a caller who reads slowly.
+        self.unsent = 0
         self._admitted = False
         self._task = None
         #: Whether the end of this instance cuts the request.
@@ -142,10 +159,14 @@
             self.refuse(error)
 
     def data_received(self, chunk: bytes) -> None:
-        """Buffer a chunk of the body, unless the body exceeds the limit."""
-        self._size += len(chunk)
-        if self._size <= self._body_limit:
-            self._parts.append(chunk)
+        """Buffer a chunk of the body, unless it is refused."""
+        if self._finished or self._body_error:
+            return
+        try:
+            self._body.add(chunk)
+        except AnvilhallError as error:
+            self._body.drop()
+            self._body_error = error
 
     def on_connection_close(self) -> None:
         """Cancel the request when its caller disconnects."""
@@ -182,7 +203,7 @@
             reason=reason,
             request_id=self.request_id,
             path=self.request.path,
-            received_bytes=self._size,
+            received_bytes=self._body.size,
             relayed=self._task is not None,
             head_written=self._headers_written,
             written_bytes=self.written,
@@ -191,6 +212,7 @@
     def on_finish(self) -> None:
         """Release the request's place in the count of open requests."""
         self.context.open.discard(self)
+        self._body.drop()
         self._note_unsent()
         if self._admitted:
             self._admitted = False
@@ -249,6 +271,8 @@
                 self._send_fault(cancelled, execution, sink)
         except Exception as unexpected:  # noqa: BLE001
             self._send_fault(unexpected, execution, sink)
+        finally:
+            job.drop_body()
 
     def build_job(self, job_path: str) -> Job:
         """Return the job for this request; its body is not parsed yet.
@@ -270,22 +294,19 @@
         job.key = self._read_key()
         job.path = job_path
         job.method = self.request.method or 'POST'
-        job.body = b''.join(self._parts)
+        job.body = self._body.take()
         deadline_s = min(self._read_deadline_s(), job.settings.deadline_s)
         job.deadline_at = self.context.services.clock.monotonic() + deadline_s
         gate.count_request(self._class_name)
         return job
 
     def check_body(self) -> None:
-        """Check the size of a received body, which may lack a length header.
+        """Check a received body, which may lack a length header.
 
-        :raises BodyTooLarge: if the body exceeds the limit.
+        :raises AnvilhallError: if it was refused while it arrived.
         """
-        if self._size > self._body_limit:
-            raise BodyTooLarge(
-                f'the body has {self._size} bytes; '
-                f'the limit is {self._body_limit}',
-            )
+        if self._body_error:
+            raise self._body_error
 
     def _get_connection(self) -> HTTP1Connection:
         connection = self.request.connection
@@ -305,13 +326,10 @@
         self._admitted = True
         self.context.open.add(self)
         self._account = gate.tree.find_account(self._read_account_key())
-        self._body_limit = gate.tree.guards.body_bytes
+        self._body.set_limit(gate.tree.guards.body_bytes)
         declared = self.request.headers.get('Content-Length', '0')
-        if exceeds_limit(declared, self._body_limit):
-            raise BodyTooLarge(
-                f'Content-Length is {declared[:_SHOWN_DIGITS]}; '
-                f'the limit is {self._body_limit} bytes',
-            )
+        # The class, and with it the tier, is not known yet.
+        self._body.expect(declared, self._account.name, tier=0)
 
     def _read_account_key(self) -> str:
         authorization = self.request.headers.get('Authorization', '')
@@ -353,14 +371,7 @@
             sink.abort(error)
         else:
             self.refuse(error)
-
-
-def exceeds_limit(declared: str, limit: int) -> bool:
-    """Return whether a declared length is a number above a limit."""
-    if not declared.isascii() or not declared.isdecimal():
-        return False
-    digits = declared.lstrip('0')
-    return len(digits) > _SHOWN_DIGITS or int(digits or '0') > limit
+        drop_tracebacks(error)
 
 
 class HandlerSink:
@@ -413,6 +424,7 @@
         handler.written = self._relayed_bytes
         if self._flushing is None or self._flushing.done():
             self._unsent_bytes = 0
+            handler.unsent = 0
             self._flushing = handler.flush()
         else:
             self._add_unsent(len(events))
@@ -432,6 +444,7 @@
 
     def _add_unsent(self, size: int) -> None:
         self._unsent_bytes += size
+        self._handler.unsent = self._unsent_bytes
         if self._unsent_bytes > _UNSENT_LIMIT_BYTES:
             self._handler.close_slow()
 
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -511,10 +511,11 @@
         :param find_obstacle: returns why a silent service is waited for; empty
             if the request may be sent elsewhere.
         """
-        call = self._build_call(wire, None)
         watchdog = _Watchdog(self, find_obstacle)
         try:
-            reply = await self._services.outbound.fetch(call, self.transfer)
+            reply = await self._services.outbound.fetch(
+                self._build_call(wire, None), self.transfer
+            )
         except (UpstreamCut, UpstreamRefused) as error:
             raise self._detect_stall(error) from error
         finally:
@@ -538,7 +539,6 @@
 
         :param answer: what earlier runners delivered and this one continues.
         """
-        call = self._build_call(wire, answer)
         errors: list[AnvilhallError] = []
 
         def on_chunk(chunk: bytes) -> None:  # noqa: WPS430
@@ -568,7 +568,7 @@
             self.handover.start()
         try:
             reply = await self._services.outbound.stream(
-                call,
+                self._build_call(wire, answer),
                 self.transfer,
                 on_chunk,
                 on_head,
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -14,6 +14,7 @@
 from anvilhall.clock import Clock
 from anvilhall.core.ledger import Ledger
 from anvilhall.core.members import MemberList
+from anvilhall.core.memory import compute_body_limit
 from anvilhall.core.owner import summarise_shards
 from anvilhall.core.settings import Fault, SettingsFaulty
 from anvilhall.core.tree import Tree
@@ -159,7 +160,10 @@
             dependencies.rng,
         )
         self._callers = CallerContext(
-            self.gate, self.services, self.answer_cache
+            self.gate,
+            self.services,
+            self.answer_cache,
+            compute_body_limit(config.memory_mb),
         )
         log_refusals()
         self._servers: list[HTTPServer] = []
--- a/src/anvilhall/jobs.py
+++ b/src/anvilhall/jobs.py
@@ -113,6 +113,11 @@
         """Whether the request may be retried after it may have run."""
         return self.settings.idempotent
 
+    def drop_body(self) -> None:
+        """Free the body, as the request has ended."""
+        self.body = b''
+        self.chat = None
+
     @property
     def body_digest(self) -> str:
         """Hash of path and body, to detect a key reused for another request."""
