--- a/src/anvilhall/core/memory.py
+++ b/src/anvilhall/core/memory.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import math
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -79,13 +78,8 @@
         _subtract(self._by_tier, tier, size)
 
 
-def compute_body_limit(memory_mb: float | None) -> float:
-    """Return the bytes for bodies of a process, from its limit in megabytes.
-
-    :param memory_mb: ``None``: the process has no limit.
-    """
-    if memory_mb is None:
-        return math.inf
+def compute_body_limit(memory_mb: float) -> float:
+    """Return the bytes for bodies of a process, from its limit in megabytes."""
     rest = memory_mb * _BYTES_PER_MB - _BASE_BYTES
     return max(_LEAST_BYTES, rest * _SHARE)
 
--- a/src/anvilhall/local.py
+++ b/src/anvilhall/local.py
@@ -25,6 +25,9 @@
 #: Characters of a malformed address in an error message.
 _SHOWN_CHARACTERS = 80
 
+#: Memory that a process may take if nothing states its limit.
+_DEFAULT_MEMORY_MB = 128.0
+
 
 class _Strict(
     msgspec.Struct,
@@ -115,8 +118,8 @@
     cpu_share: float = 0.0
     cpu_speed: float = 1.0
     #: Memory of this process, in megabytes, which bounds the bodies that it
-    #: holds; ``None``: not bounded.
-    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    #: holds.
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = _DEFAULT_MEMORY_MB
     #: Secret shared by all instances, which authenticates their links.
     peer_key: str
     tls: Tls | None = None
--- a/src/anvilhall/service.py
+++ b/src/anvilhall/service.py
@@ -6,6 +6,7 @@
 import sys
 
 import click
+import msgspec
 
 from anvilhall.clock import Clock, SystemClock
 from anvilhall.core.settings import SettingsFaulty
@@ -23,13 +24,21 @@
     'config_file',
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
 )
-def run_service(config_file: pathlib.Path) -> None:
+@click.option(
+    '--memory-mb',
+    envvar='MEMORY_LIMIT_MB',
+    type=click.FloatRange(min=0, min_open=True),
+    help='Memory that the process may take; goes before CONFIG_FILE.',
+)
+def run_service(config_file: pathlib.Path, memory_mb: float | None) -> None:
     """Run one entry instance with the settings in CONFIG_FILE."""
     try:
         config = LocalConfig.from_file(config_file)
     except SettingsFaulty as error:
         click.echo(f'anvilhalld: {error.reason}', err=True)
         sys.exit(_EXIT_SETTINGS)
+    if memory_mb is not None:
+        config = msgspec.structs.replace(config, memory_mb=memory_mb)
     clock = SystemClock()
     writer = start_logging(clock)
     asyncio.run(_run_until_signal(config, clock, writer))
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,5 +1,6 @@
 """Signals that reach the daemon while it starts."""
 
+import os
 import pathlib
 import re
 import signal
@@ -47,3 +48,16 @@
     daemon.send_signal(signal.SIGHUP)
     # It reports its settings and ends, instead of being ended by the signal.
     assert daemon.wait(timeout=START_S) == INVALID_SETTINGS
+
+
+def test_limit_of_memory_that_is_no_number_is_reported(tmp_path):
+    config = tmp_path / 'empty.json'
+    config.write_text('{}')
+    ended = subprocess.run(
+        [sys.executable, '-m', 'anvilhall.daemon', str(config)],
+        env={**os.environ, 'MEMORY_LIMIT_MB': 'much'},
+        stderr=subprocess.PIPE,
+        check=False,
+    )
+    assert ended.returncode == INVALID_SETTINGS
+    assert b"'much' is not a valid float" in ended.stderr
