--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -299,3 +299,24 @@
         assert not third.is_current()
 
     run_scenario(scenario)
+
+
+# Guards against a report that was sent before this instance's last read.
+def test_report_from_before_the_last_read_proves_nothing(run_scenario):
+    async def scenario(fleet):
+        third = fleet.feeds['third']
+        digest = third._view.digest
+        offset = third.build_offer().position.offset
+        # The runner renews its entry, which leaves the view as it is.
+        fleet.registry.write('r1')
+        await asyncio.sleep(DRAIN_S)
+        fleet.partitioned = {'third'}
+        await asyncio.sleep(0.5)
+        lag_s = third.measure_lag_s()
+        assert third.compare_read(RunnersRead(offset, digest, era=1))
+        assert third.measure_lag_s() == lag_s
+        later = RunnersRead(offset + 1, digest, era=1)
+        assert third.compare_read(later)
+        assert third.measure_lag_s() == 0.0
+
+    run_scenario(scenario)
