Close idle connections by the timeout in force when their time is over

What callers saw: after a change of the settings that allows connections to be idle for longer, a request on a kept connection, or one whose head was just arriving, got no answer: the connection was closed.

Cause: tornado fixes the timeout for the next head when it begins to wait. A connection that waited since before the change was closed by the former, shorter one, while its caller went by the new one.

Ruled out: a shorter timeout ends neither heads nor bodies that are arriving (it applies from the next wait), and limits of bodies are those of the time when the head arrived; tested here and in test_settings_under_way.

Change: requests have timers of their own, which look at the settings when they fire, and do not close a connection with unread bytes.

--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -44,6 +44,7 @@
     UnknownAccount,
 )
 from anvilhall.faults import drop_tracebacks, report_internal_error
+from anvilhall.idling import IdleTimer
 from anvilhall.local import split_address
 from anvilhall.logs import log_event
 from anvilhall.parsing import get_refusal, log_refusals
@@ -197,6 +198,10 @@
         job.deadline_at = job.arrived_at + min(limits)
         return job
 
+    def get_idle_limit_s(self) -> float:
+        """Return the seconds after which an idle connection is closed."""
+        return self.limits.idle_s * _IDLE_MARGIN
+
     def _measure_unsent(self) -> int:
         """Return the bytes of responses that are not sent yet."""
         ended = sum(
@@ -227,6 +232,7 @@
         """Wait for the head of a request on a connection."""
         self._context = context
         context.idle.add(self)
+        self._idle_timer = IdleTimer(self, context.get_idle_limit_s)
         self._connection = connection
         self._body = RequestBody(context.memory)
         self._job: RelayJob | None = None
@@ -256,6 +262,7 @@
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Route the request; refuse one with too large a body at once."""
+        self._idle_timer.cancel()
         self._context.idle.discard(self)
         self._context.open.add(self)
         self._connection.stream.set_nodelay(True)
@@ -627,11 +634,9 @@
         """
         self._context = context
         log_refusals()
-        self._server = HTTPServer(
-            self,
-            max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.idle_s * _IDLE_MARGIN,
-        )
+        self._server = HTTPServer(self, max_header_size=limits.header_bytes)
+        # The requests have timers of their own.
+        self._server.conn_params.header_timeout = None
 
     def listen(self, address: str) -> None:
         """Accept connections at ``HOST:PORT``."""
@@ -639,10 +644,8 @@
         self._server.listen(port, host)
 
     def set_limits(self, limits: RequestLimits) -> None:
-        """Replace the limits of heads and idle connections."""
-        parameters = self._server.conn_params
-        parameters.max_header_size = limits.header_bytes
-        parameters.header_timeout = limits.idle_s * _IDLE_MARGIN
+        """Replace the limit of heads."""
+        self._server.conn_params.max_header_size = limits.header_bytes
 
     def close_after_answers(self) -> None:
         """Disable keep-alive: close each connection after its next response."""
