Answer requests that a fault ends before they are relayed

What callers saw: the connection was closed without an answer, and the request was in no count and no line but the server's traceback.

Cause: an exception, or a cancellation of something read, between a request's head and its last byte left the delegate's method, and the HTTP server then closes the connection. A fault in Relay() came before the try of the request's task, so the caller waited for ever and the request stayed in the set of the open ones.

Change: faults in headers_received, data_received and finish, and while a request without a task is refused at a stop, are logged and counted, and answered once the body has been read: 500 after an exception, 503 after a cancellation, as for requests under way. If the response has begun, the connection is closed with a logged reason. The relay is created before its task.

Evidence: on the old code, all 8 cases of test_fault_before_the_relay_is_answered_and_counted and the 2 cases of Relay.__init__ in the table of test_injected_faults.py fail; all pass now. The other new points of the table passed before, as it accepts a closed connection. No test makes data_received itself fail.

--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -5,7 +5,8 @@
 import math
 import socket
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 from http.client import responses
 from typing import Any
@@ -43,7 +44,11 @@
     ShuttingDown,
     UnknownAccount,
 )
-from anvilhall.faults import drop_tracebacks, report_internal_error
+from anvilhall.faults import (
+    build_fault_error,
+    drop_tracebacks,
+    report_internal_error,
+)
 from anvilhall.idling import IdleTimer
 from anvilhall.local import split_address
 from anvilhall.logs import log_event
@@ -248,8 +253,8 @@
         self._stopping = False
         #: Whether the request has been cancelled because its caller has left.
         self._caller_left = False
-        self._host = ''
-        self._path = ''
+        self.host = ''
+        self.path = ''
         #: Bytes written but not flushed to the socket yet.
         self.unsent = 0
         #: Whether a write is not flushed yet, and the chunks that follow it.
@@ -258,20 +263,66 @@
         self._next_chunks: list[bytes] = []
         #: Bytes of the response's body that were written.
         self._written = 0
-        self._request_id = ''
+        self.request_id = ''
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         """Route the request; refuse one with too large a body at once."""
         self._idle_timer.cancel()
         self._context.idle.discard(self)
         self._context.open.add(self)
+        with self._catch_faults():
+            self._read_head(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Buffer a chunk of the request body."""
+        if self._response_started or self._error:
+            return
+        with self._catch_faults():
+            try:
+                self._body.add(chunk)
+            except BodyTooLarge as too_large:
+                self._body.drop()
+                self._refuse(too_large)
+            except AnvilhallError as error:
+                self._body.drop()
+                self._error = error
+
+    def finish(self) -> None:
+        """Relay the request, whose body is complete."""
+        with self._catch_faults():
+            self._start()
+        if self._error and not self._response_started:
+            with self._catch_faults():
+                self._refuse(self._error)
+
+    @contextmanager
+    def _catch_faults(self) -> Iterator[None]:
+        """End the request with an error after a fault of this program.
+
+        Without it, the connection would be closed without an answer.
+        """
+        try:
+            yield
+        except (Exception, asyncio.CancelledError) as fault:  # noqa: BLE001
+            # No task is cancelled here: a cancellation is one of something
+            # that was read.
+            self._error = build_fault_error(
+                fault, begun=self._response_started, may_have_run=False
+            )
+            self._body.drop()
+            if self._response_started:
+                self._release()
+                self._close_unanswered()
+            report_internal_error(self._context.services.metrics, fault)
+
+    def _read_head(self, start_line: Any, headers: HTTPHeaders) -> None:
         self._connection.stream.set_nodelay(True)
         body_limit = self._context.limits.body_bytes
         self._body.set_limit(body_limit)
         self._connection.set_max_body_size(body_limit)
-        self._request_id = headers.get(REQUEST_ID_HEADER, '')
-        self._host = headers.get('Host', '')
-        self._path = start_line.path
+        self.request_id = headers.get(REQUEST_ID_HEADER, '')
+        self.host = headers.get('Host', '')
+        self.path = start_line.path
         self._has_body = (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
@@ -288,38 +339,21 @@
             # response.
             self._error = error
 
-    def data_received(self, chunk: bytes) -> None:
-        """Buffer a chunk of the request body."""
-        if self._response_started or self._error:
-            return
-        try:
-            self._body.add(chunk)
-        except BodyTooLarge as too_large:
-            self._body.drop()
-            self._refuse(too_large)
-        except AnvilhallError as error:
-            self._body.drop()
-            self._error = error
-
-    def finish(self) -> None:
-        """Relay the request, whose body is complete."""
-        if self._response_started:
-            return
-        if self._error:
-            self._refuse(self._error)
-            return
+    def _start(self) -> None:
+        """Start the task that relays the request."""
         job = self._job
-        if job is None:
+        if job is None or self._error or self._response_started:
             return
         if self._has_body:
             job.request.body = self._body.take()
         self._connection.set_close_callback(self.on_connection_close)
-        self._task = asyncio.ensure_future(self._run(job))
+        relay = Relay(job, self, self._context.services)
+        self._task = asyncio.ensure_future(self._run(relay, job))
 
     def on_connection_close(self) -> None:
         """Cancel the request, as the caller has disconnected."""
         if self._task or not self._answered:
-            self._log_close(self._find_close_reason())
+            self._log_close(_find_close_reason(self._context))
         self._caller_left = True
         if self._task:
             self._cancel(self._task)
@@ -341,7 +375,8 @@
             self._stopping = True
             self._cancel(self._task)
         elif not self._response_started:
-            self._refuse(ShuttingDown(retry_after_s=_NOT_READY_RETRY_S))
+            with self._catch_faults():
+                self._refuse(ShuttingDown(retry_after_s=_NOT_READY_RETRY_S))
 
     def _cancel(self, task: 'asyncio.Task[None]') -> None:
         # A task that is cancelled before it begins would never run its end.
@@ -381,9 +416,9 @@
         log_event(
             'connection_closed',
             reason=reason,
-            request_id=self._request_id,
-            host=self._host,
-            path=self._path,
+            request_id=self.request_id,
+            host=self.host,
+            path=self.path,
             received_bytes=self._body.size,
             relayed=self._task is not None,
             head_written=self._response_started,
@@ -441,8 +476,7 @@
         if not self._answered:
             self._write_next()
 
-    async def _run(self, job: RelayJob) -> None:
-        relay = Relay(job, self, self._context.services)
+    async def _run(self, relay: Relay, job: RelayJob) -> None:
         self._relay = relay
         error: AnvilhallError | None = None
         try:
@@ -528,7 +562,7 @@
         """Send an error of this system as the response."""
         self._response_started = True
         headers = HTTPHeaders({'Content-Type': 'application/json'})
-        body = encode_error(error, self._request_id)
+        body = encode_error(error, self.request_id)
         headers['Content-Length'] = str(len(body))
         if error.retry_after_s is not None:
             headers['Retry-After'] = f'{error.retry_after_s:.2f}'
@@ -542,7 +576,7 @@
         self._count_error(error)
         if self._task is None:
             self._release()
-            self._log_refusal(error, status)
+            _log_refusal(self, error, status, self._context.version)
 
     def _release(self) -> None:
         """End the request, and free its body without the garbage collector."""
@@ -563,11 +597,6 @@
         else:
             self._context.unsent.pop(stream, None)
 
-    def _find_close_reason(self) -> str:
-        if self._context.closed:
-            return ShuttingDown.code
-        return MalformedRequest.code if get_refusal() else CallerGone.code
-
     def _count_error(self, error: AnvilhallError) -> None:
         metrics = self._context.services.metrics
         refused = error.outcome is Outcome.NOT_RUN
@@ -575,19 +604,6 @@
         name = self._job.route.name if self._job else ''
         counter.labels(error.code, name).inc()
 
-    def _log_refusal(self, error: AnvilhallError, status: int) -> None:
-        """Log a request that was refused before it was relayed."""
-        log_event(
-            'request_refused',
-            request_id=self._request_id,
-            host=self._host,
-            path=self._path,
-            result=error.code,
-            reason=error.reason,
-            status=status,
-            settings_version=self._context.version,
-        )
-
     def _log_end(
         self,
         job: RelayJob,
@@ -693,6 +709,25 @@
         return RelayRequest(self._context, request_conn)
 
 
+def _log_refusal(
+    request: RelayRequest, error: AnvilhallError, status: int, version: int
+) -> None:
+    """Log a request that was refused before it was relayed.
+
+    :param version: version of the settings.
+    """
+    log_event(
+        'request_refused',
+        request_id=request.request_id,
+        host=request.host,
+        path=request.path,
+        result=error.code,
+        reason=error.reason,
+        status=status,
+        settings_version=version,
+    )
+
+
 def choose_status(error: AnvilhallError) -> int:
     """Return the HTTP status that callers get for an error."""
     if error.outcome is not Outcome.NOT_RUN:
@@ -700,3 +735,9 @@
     if error.status in _NOT_RUN_STATUSES:
         return int(error.status)
     return int(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _find_close_reason(context: RelayContext) -> str:
+    if context.closed:
+        return ShuttingDown.code
+    return MalformedRequest.code if get_refusal() else CallerGone.code
--- a/tests/test_injected_faults.py
+++ b/tests/test_injected_faults.py
@@ -14,6 +14,7 @@
 from anvilhall.core.advertised import AdvertisedLimits
 from anvilhall.core.broker import Broker
 from anvilhall.core.retries import PoolRetryBudgets
+from anvilhall.core.routes import RouteTable
 from anvilhall.core.shutdown import Shutdown
 from anvilhall.core.verification import Verification
 from anvilhall.events import EventFramer
@@ -22,7 +23,7 @@
 from anvilhall.origins import Origins
 from anvilhall.outbound import CurlOutbound
 from anvilhall.platform.headers import PlatformHeaders
-from anvilhall.relay import RelayRequest
+from anvilhall.relay import RelayContext, RelayRequest
 from anvilhall.relaying import Relay
 from anvilhall.relayjobs import RelayJob
 from tests.rawcaller import RawCaller
@@ -52,6 +53,7 @@
     (Origins, 'note_begun'),
     (PendingGrant, 'wait'),
     (PlatformHeaders, 'build_call'),
+    (PlatformHeaders, 'read_request'),
     (PlatformHeaders, 'read_answer'),
     (PlatformHeaders, 'filter_response_headers'),
     (PoolRetryBudgets, 'note_first_attempt'),
@@ -61,11 +63,16 @@
     (RelayAttempt, '__init__'),
     (RelayAttempt, 'run'),
     (RelayAttempt, '_flush'),
+    (Relay, '__init__'),
+    (RelayContext, 'build_job'),
     (RelayJob, 'build_ask'),
+    (RelayRequest, '_read_head'),
+    (RelayRequest, '_start'),
     (RelayRequest, 'send_head'),
     (RelayRequest, 'write'),
     (RelayRequest, '_finish'),
     (RelayRequest, '_log_end'),
+    (RouteTable, 'find'),
     (RunnerActivity, 'begin'),
     (RunnerActivity, 'end'),
     (RunnerActivity, 'note'),
@@ -84,6 +91,8 @@
     (Handover, 'close'),
     (PendingGrant, 'wait'),
     (RelayAttempt, 'run'),
+    (RelayContext, 'build_job'),
+    (RelayRequest, '_start'),
     (RelayRequest, 'send_head'),
     (RelayRequest, 'write'),
     (RelayRequest, '_finish'),
@@ -335,3 +344,36 @@
             await wait_until(lambda: not gateway.context.open)
 
     asyncio.run(scenario())
+
+
+# Guards against a request whose caller gets no answer because of a fault
+# before it is relayed.
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [
+        (PlatformHeaders, 'read_request'),
+        (Relay, '__init__'),
+        (RelayContext, 'build_job'),
+        (RouteTable, 'find'),
+    ],
+)
+def test_fault_before_the_relay_is_answered_and_counted(
+    monkeypatch, owner, name, fault
+):
+    async def scenario():
+        async with run_site() as site:
+            gateway = site.gateways['g1']
+            faults = gateway.metrics.internal_errors.labels(fault.__name__)
+            injection = Injection('before', fault)
+            monkeypatch.setattr(
+                owner, name, injection.wrap(getattr(owner, name))
+            )
+            _, answer = await _send(site, 'order')
+            assert answer.whole
+            assert answer.status == (500 if fault is RuntimeError else 503)
+            assert injection.hits == faults._value.get() == 1
+            assert not gateway.context.open
+            assert not site.runners['desk-0'].runs
+
+    asyncio.run(scenario())
