--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -60,8 +60,7 @@
         async with run_site() as site:
             site.runners['desk-0'].work_s = 0.5
             port = site.ports['g1']
-            for number in range(4):
-                await _send(port, f'full-{number}')
+            writers = [await _send(port, f'full-{n}') for n in range(4)]
             broker = site.gateways['g1']._fleet.broker
             await wait_until(lambda: broker.running_count == 4)
             left = await _send(port, 'same')
@@ -73,5 +72,7 @@
             await asyncio.sleep(LEAVE_S)
             left.transport.abort()
             assert (await again).status == 200
+            for writer in writers:
+                writer.close()
 
     asyncio.run(scenario())
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -171,10 +171,10 @@
     run = RelayRequest._run
     begin = Relay.__init__
 
-    async def track(request, job):
+    async def track(request, relay, job):
         job.request.body = TrackedBody(job.request.body)
         made.append(weakref.ref(request))
-        await run(request, job)
+        await run(request, relay, job)
 
     class TrackedRelay(Relay):
         __slots__ = ('__weakref__',)
