Keep the handover of a stream running after a fault in it

What callers saw: a stream whose runner had fallen silent stayed on it until its deadline, although other runners were free.

Cause: an exception, or a cancellation of something read, in a timer or a callback of the handover went to the event loop's handler. Nothing scheduled the next check, the fault was in no count, and a grant or a started attempt could be left behind: the successor's end came before the call of its failure handler, and a fault after the grant had been taken from the handover left it to nobody.

Change: each step of a timer or callback is guarded: the fault is logged and counted, the pending grant or the new attempt is given up, and the stream is checked again. The stream counts as moved once the stalled attempt is aborted; a new attempt whose beginning fails forwards nothing. Withdrawals go on with the remaining steps after a fault in one of them.

--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -272,6 +272,7 @@
                 services.broker,
                 services.clock,
                 services.activity,
+                services.metrics,
             )
         return attempt
 
--- a/src/anvilhall/grants.py
+++ b/src/anvilhall/grants.py
@@ -109,8 +109,10 @@
 
     def withdraw(self, broker: Broker, ask: Ask) -> None:
         """Withdraw the request, and release a grant that has arrived."""
-        broker.withdraw(ask.request_id)
-        self.release(broker)
+        try:
+            broker.withdraw(ask.request_id)
+        finally:
+            self.release(broker)
 
     def release(self, broker: Broker) -> None:
         """Release a grant that has arrived and that no attempt uses."""
--- a/src/anvilhall/handover.py
+++ b/src/anvilhall/handover.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -17,8 +18,10 @@
 from anvilhall.core.broker import Broker
 from anvilhall.core.messages import Ask, Grant, get_request_id, name_grant
 from anvilhall.exceptions import RequestRefused
+from anvilhall.faults import report_internal_error
 from anvilhall.grants import PendingGrant
 from anvilhall.logs import log_event
+from anvilhall.metrics import Metrics
 from anvilhall.successors import Successor
 
 #: Seconds until a runner is asked for again, if none was granted or the granted
@@ -94,6 +97,7 @@
     :param attempt: attempt to observe.
     :param request: request of the attempt.
     :param activity: runners that have been silent.
+    :param metrics: counts the faults of timers and callbacks.
     """
 
     __slots__ = (
@@ -104,6 +108,7 @@
         '_attempt',
         '_broker',
         '_clock',
+        '_metrics',
         '_moved',
         '_pending',
         '_reason',
@@ -121,6 +126,7 @@
         broker: Broker,
         clock: Clock,
         activity: RunnerActivity,
+        metrics: Metrics,
     ) -> None:
         """Create the handover; :meth:`start` begins to observe the attempt."""
         self._attempt = attempt
@@ -128,6 +134,7 @@
         self._broker = broker
         self._clock = clock
         self._activity = activity
+        self._metrics = metrics
         self._timer: asyncio.TimerHandle | None = None
         #: Unanswered ask.
         self._pending: PendingGrant | None = None
@@ -181,9 +188,36 @@
         """Stop observing; withdraw the ask, or end an attempt not taken."""
         if self._timer:
             self._timer.cancel()
-        self._withdraw()
-        if self._stalled:
-            self._end_stall()
+        try:
+            self._withdraw()
+        finally:
+            if self._stalled:
+                self._end_stall()
+
+    def _run_step(self, step: Callable[[], None]) -> None:
+        """Run a step of a timer or a callback.
+
+        No caller would handle its fault, and the stream would stay on its
+        silent runner.
+        """
+        try:
+            step()
+        except (Exception, asyncio.CancelledError) as fault:  # noqa: BLE001
+            # No task is cancelled here: a cancellation is one of something
+            # that was read.
+            self._handle_fault(fault)
+
+    def _handle_fault(self, fault: BaseException) -> None:
+        """Report a fault and begin again, unless the stream has moved."""
+        report_internal_error(self._metrics, fault)
+        if self._moved:
+            return
+        self._reason = type(fault).__name__
+        self._schedule_repeat()
+        try:
+            self._withdraw()
+        except Exception as error:  # noqa: BLE001
+            report_internal_error(self._metrics, error)
 
     def _schedule_check(self, delay_s: float) -> None:
         self._schedule(delay_s, self._check)
@@ -192,7 +226,7 @@
         if self._timer:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, work)
+        self._timer = loop.call_later(delay_s, self._run_step, work)
 
     def _check(self) -> None:
         left_s = self._attempt.compute_time_left_s()
@@ -200,9 +234,9 @@
             self._schedule_check(left_s)
             return
         if not self._stalled:
-            self._stalled = True
             self._repeat_s = _REPEAT_S
             self._activity.begin_stall(self._attempt.grant.runner)
+            self._stalled = True
             self._attempt.report_stall()
         self._reason = self._request.find_obstacle()
         if self._reason:
@@ -241,11 +275,15 @@
         self._broker.ask(self._ask, self._pending)
 
     def _handle_answer(self, answer: 'asyncio.Future[Grant]') -> None:
-        error = answer.exception()
         pending = self._pending
         if pending is None or pending.future is not answer:
             # It was withdrawn.
             return
+        self._run_step(functools.partial(self._use_answer, pending))
+
+    def _use_answer(self, pending: PendingGrant) -> None:
+        answer = pending.future
+        error = answer.exception()
         if error is None:
             self._reason = self._find_obstacle(answer.result())
         elif isinstance(error, RequestRefused):
@@ -259,14 +297,14 @@
             else:
                 self._schedule_repeat()
             return
-        self._pending = None
         self._try_runner(pending, answer.result())
 
     def _try_runner(self, pending: PendingGrant, grant: Grant) -> None:
         self._successor = self._request.start_successor(
             pending, self._ask, grant
         )
-        self._successor.observe(self._move, self._handle_failure)
+        self._pending = None
+        self._successor.observe(self._handle_begin, self._handle_failure)
         self._schedule(_UNSENT_REPEAT_S, self._check_sent)
 
     def _check_sent(self) -> None:
@@ -281,14 +319,22 @@
         if self._successor and not self._successor.ended:
             self._move()
 
+    def _handle_begin(self) -> None:
+        try:
+            self._move()
+        except BaseException as fault:
+            self._handle_fault(fault)
+            # The new attempt must not forward its response.
+            raise
+
     def _handle_failure(self, error: BaseException) -> None:
         """Stay with the stalled attempt, as the new one has failed."""
         successor = self._successor
         if self._moved or successor is None:
             return
         self._successor = None
-        self._reason = successor.describe_failure(error)
         self._schedule_repeat()
+        self._reason = successor.describe_failure(error)
 
     def _move(self) -> None:
         """Give up the stalled attempt, as the new one is accepted."""
@@ -297,11 +343,15 @@
             return
         if self._timer:
             self._timer.cancel()
-        self._moved = True
-        self._log('stream_moved', to=successor.attempt.grant.runner)
         self._attempt.abort_stalled()
+        self._moved = True
         if successor.attempt.handover:
-            successor.attempt.handover.start()
+            self._run_step(successor.attempt.handover.start)
+        self._run_step(
+            functools.partial(
+                self._log, 'stream_moved', to=successor.attempt.grant.runner
+            ),
+        )
 
     def _find_obstacle(self, grant: Grant) -> str:
         """Return why the stream is not moved to a granted runner, if so.
@@ -324,12 +374,14 @@
     def _withdraw(self) -> None:
         pending = self._pending
         self._pending = None
-        if pending:
-            pending.withdraw(self._broker, self._ask)
         successor = self._successor
         self._successor = None
-        if successor:
-            successor.cancel()
+        try:
+            if pending:
+                pending.withdraw(self._broker, self._ask)
+        finally:
+            if successor:
+                successor.cancel()
 
     def _end_stall(self) -> None:
         self._stalled = False
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -269,6 +269,7 @@
                 services.broker,
                 services.clock,
                 services.activity,
+                services.metrics,
             )
         return attempt
 
--- a/src/anvilhall/successors.py
+++ b/src/anvilhall/successors.py
@@ -103,10 +103,12 @@
         self._end_once()
 
     def _handle_end(self, task: asyncio.Task[None]) -> None:
-        self._end_once()
         error = None if task.cancelled() else task.exception()
-        if error and self._failure_handler:
-            self._failure_handler(error)
+        try:
+            self._end_once()
+        finally:
+            if error and self._failure_handler:
+                self._failure_handler(error)
 
     def _end_once(self) -> None:
         if not self._ended:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,7 +9,9 @@
 from anvilhall.core.messages import Ask, Grant, get_request_id
 from anvilhall.core.retries import RetryBudget
 from anvilhall.exceptions import Overloaded, UpstreamFull
+from anvilhall.grants import PendingGrant
 from anvilhall.handover import Handover
+from anvilhall.metrics import Metrics
 
 #: Stall timeout of the attempt of a test, in seconds.
 LIMIT_S = 0.04
@@ -129,8 +131,14 @@
         self.broker = StubBroker(script)
         self.stream = StubStream(clock)
         self.activity = RunnerActivity()
+        self.metrics = Metrics()
         self.handover = Handover(
-            self.stream, self.stream, self.broker, clock, self.activity
+            self.stream,
+            self.stream,
+            self.broker,
+            clock,
+            self.activity,
+            self.metrics,
         )
         self.handover.start()
 
@@ -546,3 +554,76 @@
     async with asyncio.timeout(WAIT_S):
         while len(stream.successors) < count:
             await asyncio.sleep(0.005)
+
+
+def _fail_once(monkeypatch, owner, name, fault):
+    """Make the first call of a function fail."""
+    function = getattr(owner, name)
+
+    def fail(*arguments, **fields):
+        monkeypatch.setattr(owner, name, function)
+        raise fault('injected')
+
+    monkeypatch.setattr(owner, name, fail)
+
+
+# Guards against a stream that stays on its silent runner, because a fault in a
+# timer or a callback has ended its handover.
+@pytest.mark.parametrize('fault', [RuntimeError, asyncio.CancelledError])
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [
+        (Handover, '_check'),
+        (Handover, '_send_ask'),
+        (Handover, '_find_obstacle'),
+        (Handover, '_try_runner'),
+        (PendingGrant, 'withdraw'),
+        (RunnerActivity, 'begin_stall'),
+        (RunnerActivity, 'list_silent'),
+        (StubBroker, 'ask'),
+        (StubStream, 'abort_stalled'),
+        (StubStream, 'compute_time_left_s'),
+        (StubStream, 'find_obstacle'),
+        (StubStream, 'report_stall'),
+        (StubStream, 'start_successor'),
+        (StubStream, 'try_spend_retry'),
+        (StubSuccessor, 'observe'),
+    ],
+)
+def test_stream_moves_although_a_step_has_failed(
+    monkeypatch, lines, owner, name, fault
+):
+    async def scenario():
+        setting = Setting('old', 'new', 'new')
+        setting.stream.budget = 2
+        _fail_once(monkeypatch, owner, name, fault)
+        await setting.wait_moved()
+        successor = setting.handover.take()
+        assert not successor.cancelled
+        setting.handover.close()
+        # All other asks, grants and attempts have been given up.
+        others = {each.request_id for each in setting.broker.asks}
+        others.discard(successor.grant.request_id)
+        given_up = set(setting.broker.withdrawn)
+        for each in setting.stream.successors:
+            assert each.cancelled is (each is not successor)
+            if each.cancelled:
+                given_up.add(each.grant.request_id)
+        assert successor.grant.request_id not in given_up
+        assert owner is PendingGrant or given_up >= others
+        faults = setting.metrics.internal_errors.labels(fault.__name__)
+        assert faults._value.get() == 1
+
+    asyncio.run(scenario())
+
+
+# Guards against a moved stream whose handover has no end because of its log.
+def test_stream_moves_although_its_log_line_fails(monkeypatch, lines):
+    async def scenario():
+        setting = Setting('new')
+        _fail_once(monkeypatch, Handover, '_log', RuntimeError)
+        await setting.wait_moved()
+        assert setting.handover.take().grant.runner == 'new'
+        setting.handover.close()
+
+    asyncio.run(scenario())
