Dial a peer again after a fault when its link came up

What callers saw: requests at an instance whose link to the owner had failed this way waited out the owner's timeout, and its grants came from the fallback.

Cause: the callback for a new link ran outside the try that removes the link, so after a fault the closed link stayed in the table and was preferred for messages. The fault also ended the dial task, which nothing starts again. A link whose writer had failed stayed open, and its messages waited for ever.

Change: the link is removed at any end. The dial task reports faults, also cancellations of something that it awaited, and dials again; an accepted link's fault is counted. A writer that fails closes its link.

--- a/src/anvilhall/links.py
+++ b/src/anvilhall/links.py
@@ -30,9 +30,11 @@
     encode_message,
 )
 from anvilhall.exceptions import PeerProtocolBroken, PeerUnreachable
+from anvilhall.faults import report_internal_error
 from anvilhall.local import LocalConfig, Tls, split_address
 from anvilhall.logs import log_event
 from anvilhall.metrics import Metrics
+from anvilhall.tasks import is_cancelled
 
 #: Version of the message protocol; instances with different versions
 #: interoperate.
@@ -110,6 +112,10 @@
                 await self._connection.send(await self._outbox.get())
         except ConnectionClosed:
             return
+        except Exception as fault:  # noqa: BLE001
+            # Messages would wait for ever on a link that seems to be open.
+            report_internal_error(self._metrics, fault)
+            self._connection.transport.abort()
 
 
 class LinkCallbacks:
@@ -298,6 +304,11 @@
                         address=address,
                         reason=f'{failure}: {error}',
                     )
+            except (Exception, asyncio.CancelledError) as fault:
+                if is_cancelled():
+                    raise
+                # Nothing else would dial this instance again.
+                report_internal_error(self._metrics, fault)
             else:
                 last_failure = ''
             await asyncio.sleep(_REDIAL_S)
@@ -344,7 +355,11 @@
             await connection.close(_CLOSE_POLICY_VIOLATION)
             return
         link = Link(connection, hello, self._metrics)
-        await self._run_link(link, self._accepted, 'accepted')
+        try:
+            await self._run_link(link, self._accepted, 'accepted')
+        except Exception as fault:  # noqa: BLE001
+            # The connection is closed, and the peer dials again.
+            report_internal_error(self._metrics, fault)
 
     async def _run_link(
         self,
@@ -357,10 +372,10 @@
         links[name] = link
         if replaced:
             replaced.close()
-        self._metrics.links_opened.labels(direction).inc()
-        log_event('link_up', instance=name, direction=direction)
-        self._callbacks.on_up(link.hello)
         try:
+            self._metrics.links_opened.labels(direction).inc()
+            log_event('link_up', instance=name, direction=direction)
+            self._callbacks.on_up(link.hello)
             await self._read_messages(link)
         finally:
             link.close()
--- a/src/anvilhall/tasks.py
+++ b/src/anvilhall/tasks.py
@@ -77,3 +77,12 @@
             except Exception as error:  # noqa: BLE001
                 report_internal_error(self._metrics, error)
             await asyncio.sleep(_RESTART_S)
+
+
+def is_cancelled() -> bool:
+    """Return whether the current task itself has been cancelled.
+
+    A cancellation is also raised in it if it awaits something that has been.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
