Let an account hold more memory, and refuse no short body for its share

Change: three times what is free, in requests of the highest tier eight times; a body of at most 16 KiB only needs free memory.

--- a/src/anvilhall/bodies.py
+++ b/src/anvilhall/bodies.py
@@ -87,7 +87,9 @@
     def _reserve(self, size: int) -> None:
         missing = size - self._reserved
         if missing > 0:
-            self._memory.reserve(self._account, self._tier, missing)
+            self._memory.reserve(
+                self._account, self._tier, missing, self._reserved
+            )
             self._reserved = size
 
 
--- a/src/anvilhall/core/memory.py
+++ b/src/anvilhall/core/memory.py
@@ -23,8 +23,11 @@
 _LEAST_BYTES = 8 * _BYTES_PER_MB
 #: Multiple of the free memory that an account may hold: in requests of the
 #: highest tier that holds memory, and in others.
-_FIRST_SHARE = 2.0
-_OTHER_SHARE = 1.0
+_FIRST_SHARE = 8.0
+_OTHER_SHARE = 3.0
+#: Largest body that needs no more than free memory, whatever its account
+#: holds.
+_SHORT_BYTES = 16_384
 #: ``Retry-After`` of refused requests, in seconds.
 _RETRY_AFTER_S = 0.5
 
@@ -52,9 +55,12 @@
         """Bytes that are reserved for bodies."""
         return self._by_account.total()
 
-    def reserve(self, account: str, tier: int, size: int) -> None:
+    def reserve(
+        self, account: str, tier: int, size: int, before: int = 0
+    ) -> None:
         """Reserve memory for a body or the next part of it.
 
+        :param before: bytes that are reserved for the same body already.
         :raises MemoryFull: if the account may not hold as much now.
         """
         if not size:
@@ -63,7 +69,8 @@
         first = all(tier <= other for other in self._by_tier)
         share = _FIRST_SHARE if first else _OTHER_SHARE
         wanted = self._by_account[account] + size
-        if size > free or wanted > share * free:
+        long = before + size > _SHORT_BYTES
+        if size > free or (long and wanted > share * free):
             raise MemoryFull(
                 f'{size} bytes wanted, {self._by_account[account]} held by '
                 f'the account, {max(free, 0):.0f} free',
