Read from runners no faster than callers read

Callers that read slowly lost answers: once 1 MiB was unsent, the relay closed their connections, although runner and caller were sound; the own interface did so at 8 MiB.

Cause: nothing slowed down the reading from the runner.

Ruled out: larger buffers, which only move the limit and take memory for each caller.

Change: above 256 KiB unsent, the transfer from the runner is suspended, which libcurl does on request of the callback; it is resumed at 64 KiB in the relay and after the flush in the own interface. A suspended attempt has not stalled, its runner is not taken for silent, and the time until it is resumed is no gap. The time limit of the request and a planned stop still end it; the line `connection_closed` then names the reason `slow_caller`, as before.

--- a/src/anvilhall/attempts.py
+++ b/src/anvilhall/attempts.py
@@ -184,7 +184,9 @@
         finally:
             if self._job.route.streaming:
                 services.activity.end(
-                    self.grant.runner, begun=self.first_token_s > 0
+                    self.grant.runner,
+                    begun=self.first_token_s > 0,
+                    suspended=self.transfer.suspended,
                 )
         self._problem = self._problem or self._check_end()
         if self._problem:
@@ -203,6 +205,8 @@
 
     def compute_time_left_s(self) -> float:
         """Return the seconds left until the stream counts as stalled."""
+        if self.transfer.suspended:
+            return self.stall_timeout_s
         limit = self._last_progress_at + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
 
@@ -229,6 +233,23 @@
         self._drop_partial()
         self.transfer.abort()
 
+    def suspend(self) -> None:
+        """Stop reading the response, as the caller reads more slowly."""
+        if not self.transfer.suspended:
+            self.transfer.suspend()
+            if self._job.route.streaming:
+                self._services.activity.suspend(self.grant.runner)
+
+    def resume(self) -> None:
+        """Read the response on; the time since the suspension is no gap."""
+        if self.transfer.suspended:
+            now = self._services.clock.monotonic()
+            self._last_chunk_at = now
+            self._last_progress_at = now
+            if self._job.route.streaming:
+                self._services.activity.resume(self.grant.runner, now)
+            self.transfer.resume()
+
     def close(self) -> None:
         """Abort the exchange unless it succeeded, and release the grant."""
         try:
--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -56,8 +56,9 @@
 _KEY_LIMIT = 255
 #: Longest deadline that a caller may set, in seconds.
 _DEADLINE_LIMIT_S = 86400.0
-#: Unsent response bytes above which a slow caller's request is cancelled.
-_UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
+#: Bytes of an answer that wait for a slow caller, above which the runner's
+#: answer is not read on.
+_UNSENT_LIMIT_BYTES = 256 * 1024
 #: Response headers of a service that are not forwarded to the caller.
 _HOP_HEADERS = frozenset(
     (
@@ -127,6 +128,7 @@
     context: CallerContext
     _account: ClientAccount
     _task: 'asyncio.Task[None] | None'
+    _execution: Execution | None
 
     def initialize(self, context: CallerContext) -> None:
         """Store the application's context and reset the request's state."""
@@ -138,6 +140,7 @@
         self.unsent = 0
         self._admitted = False
         self._task = None
+        self._execution = None
         #: Whether the end of this instance cuts the request.
         self._stopping = False
         #: Whether the request was cancelled because its caller has left or
@@ -186,9 +189,16 @@
         """Close the connection of a caller that does not read its answer."""
         self.log_close(SLOW_CALLER)
         self._get_connection().close()
-        self._caller_left = True
-        if self._task:
-            self._task.cancel()
+
+    def suspend(self) -> None:
+        """Stop reading the answer of a caller that reads more slowly."""
+        if self._execution:
+            self._execution.suspend()
+
+    def resume(self) -> None:
+        """Read the answer on."""
+        if self._execution:
+            self._execution.resume()
 
     def log_close(self, reason: str) -> None:
         """Log that the connection is closed before the answer was sent.
@@ -255,6 +265,7 @@
     async def serve_job(self, job: Job, sink: 'HandlerSink') -> None:
         """Run a job and end the response, with an error if the job fails."""
         execution = Execution(job, sink, self.context.services)
+        self._execution = execution
         self._task = asyncio.current_task()
         try:
             await execution.run()
@@ -405,7 +416,13 @@
 class StreamSink(HandlerSink):
     """Streams events to the caller as they arrive."""
 
-    __slots__ = ('_flushing', '_relayed_bytes', '_unsent_bytes')
+    __slots__ = (
+        '_ended',
+        '_flushing',
+        '_relayed_bytes',
+        '_suspended',
+        '_unsent_bytes',
+    )
 
     def __init__(self, handler: CallerHandler) -> None:
         """Start before the first byte."""
@@ -413,6 +430,10 @@
         self._flushing: asyncio.Future[None] | None = None
         self._unsent_bytes = 0
         self._relayed_bytes = 0
+        #: Whether the answer is not read on until a flush has ended.
+        self._suspended = False
+        #: Whether the response has ended.
+        self._ended = False
 
     def write_events(self, events: bytes) -> None:
         """Write events; those written during a flush go out with the next."""
@@ -427,26 +448,46 @@
             handler.unsent = 0
             self._flushing = handler.flush()
         else:
-            self._add_unsent(len(events))
+            self._add_unsent(len(events), self._flushing)
 
     def finish(self) -> None:
         """End the response."""
+        self._ended = True
         self._count_relayed()
         super().finish()
 
     def abort(self, error: AnvilhallError) -> None:
         """Send the error as the last event, without a ``[DONE]`` event."""
+        self._ended = True
         self._count_relayed()
+        if self._suspended:
+            # The error would wait behind what the caller does not read.
+            self._handler.close_slow()
+            return
         payload = encode_error(error, self._handler.request_id)
         event = b''.join((b'event: error\ndata: ', payload, b'\n\n'))
         self._handler.write(event)
         self._handler.finish()
 
-    def _add_unsent(self, size: int) -> None:
+    def _add_unsent(self, size: int, flushing: 'asyncio.Future[None]') -> None:
         self._unsent_bytes += size
         self._handler.unsent = self._unsent_bytes
-        if self._unsent_bytes > _UNSENT_LIMIT_BYTES:
-            self._handler.close_slow()
+        if self._unsent_bytes > _UNSENT_LIMIT_BYTES and not self._suspended:
+            self._suspended = True
+            self._handler.suspend()
+            flushing.add_done_callback(self._resume)
+
+    def _resume(self, flushed: 'asyncio.Future[None]') -> None:
+        """Send what has waited, and read the answer on."""
+        self._suspended = False
+        if flushed.cancelled() or flushed.exception() is not None:
+            # The caller has gone.
+            return
+        if not self._ended:
+            self._unsent_bytes = 0
+            self._handler.unsent = 0
+            self._flushing = self._handler.flush()
+            self._handler.resume()
 
     def _count_relayed(self) -> None:
         self._handler.context.gate.count_relayed_bytes(self._relayed_bytes)
--- a/src/anvilhall/core/activity.py
+++ b/src/anvilhall/core/activity.py
@@ -4,7 +4,7 @@
 class _Activity:
     """Open streams of one runner and the last sign of life on them."""
 
-    __slots__ = ('begun', 'heard_at', 'stalled', 'streams')
+    __slots__ = ('begun', 'heard_at', 'stalled', 'streams', 'suspended')
 
     def __init__(self, now: float) -> None:
         #: Monotonic time of the last chunk, or of the first stream's start.
@@ -14,6 +14,8 @@
         self.begun = 0
         #: Streams that have reached their stall limit.
         self.stalled = 0
+        #: Streams that are not read, as their callers are slower.
+        self.suspended = 0
 
 
 class RunnerActivity:
@@ -59,14 +61,32 @@
         if activity:
             activity.stalled = max(0, activity.stalled - 1)
 
-    def end(self, runner: str, *, begun: bool) -> None:
+    def suspend(self, runner: str) -> None:
+        """Note that a stream is not read for now."""
+        activity = self._runners.get(runner)
+        if activity:
+            activity.suspended += 1
+
+    def resume(self, runner: str, now: float) -> None:
+        """Note that a suspended stream is read on.
+
+        What the runner sent meanwhile is not known.
+        """
+        activity = self._runners.get(runner)
+        if activity:
+            activity.suspended -= 1
+            activity.heard_at = now
+
+    def end(self, runner: str, *, begun: bool, suspended: bool = False) -> None:
         """Note that a stream has ended.
 
         :param begun: whether it has sent something.
+        :param suspended: whether it is suspended.
         """
         activity = self._runners[runner]
         activity.streams -= 1
         activity.begun -= begun
+        activity.suspended -= suspended
         if not activity.streams:
             self._runners.pop(runner)
 
@@ -79,5 +99,5 @@
             runner
             for runner, activity in self._runners.items()
             if activity.heard_at <= since
-            and (activity.begun or activity.stalled)
+            and (activity.begun > activity.suspended or activity.stalled)
         )
--- a/src/anvilhall/execution.py
+++ b/src/anvilhall/execution.py
@@ -120,6 +120,7 @@
         '_arrived_at',
         '_avoided_runners',
         '_claim',
+        '_current',
         '_delivered',
         '_delivered_size',
         '_failed_attempts',
@@ -132,6 +133,7 @@
         '_sink',
         '_version',
         '_wire',
+        'suspended',
     )
 
     def __init__(self, job: Job, sink: Sink, services: Services) -> None:
@@ -153,6 +155,10 @@
         #: Attempt that the answer goes on with, if it moves.
         self._moved: Successor | None = None
         self._claim: Claim | None = None
+        #: Attempts whose events are forwarded: two while an answer may move.
+        self._current: list[_Attempt] = []
+        #: Whether the answer is not read on, as the caller is slower.
+        self.suspended = False
         #: Events written to the sink, kept to continue the answer on another
         #: runner.
         self._delivered: list[bytes] = []
@@ -260,6 +266,18 @@
             self._services.clock.monotonic(),
         )
 
+    def suspend(self) -> None:
+        """Stop reading the answer, as the caller reads more slowly."""
+        self.suspended = True
+        for attempt in self._current:
+            attempt.suspend()
+
+    def resume(self) -> None:
+        """Read the answer on."""
+        self.suspended = False
+        for attempt in self._current:
+            attempt.resume()
+
     def _build_attempt(self, grant: Grant) -> '_Attempt':
         services = self._services
         repeated = grant.runner in self._runners
@@ -376,7 +394,11 @@
         if self._wire.streams:
             answer = decode_answer(self._delivered) if self._delivered else None
             forward = functools.partial(self._forward, attempt.grant)
-            await attempt.stream(self._wire, answer, forward)
+            self._current.append(attempt)
+            try:
+                await attempt.stream(self._wire, answer, forward)
+            finally:
+                self._current.remove(attempt)
         else:
             reply = await attempt.exchange(self._wire, self.find_obstacle)
             self._sink.write_reply(reply)
@@ -579,9 +601,28 @@
         else:
             failure = _find_status_error(reply)
         finally:
-            activity.end(self.grant.runner, begun=self.first_token_s > 0)
+            activity.end(
+                self.grant.runner,
+                begun=self.first_token_s > 0,
+                suspended=self.transfer.suspended,
+            )
         self._check_end(errors, failure, forward)
 
+    def suspend(self) -> None:
+        """Stop reading the answer, as the caller reads more slowly."""
+        if not self.transfer.suspended:
+            self.transfer.suspend()
+            self._services.activity.suspend(self.grant.runner)
+
+    def resume(self) -> None:
+        """Read the answer on; the time since the suspension is no gap."""
+        if self.transfer.suspended:
+            self._last_chunk_at = self._services.clock.monotonic()
+            self._services.activity.resume(
+                self.grant.runner, self._last_chunk_at
+            )
+            self.transfer.resume()
+
     def close(self) -> None:
         """Release the grant; cancel a request that may still be running."""
         try:
@@ -712,6 +753,8 @@
 
     def compute_time_left_s(self) -> float:
         """Return the seconds left until the runner counts as stalled."""
+        if self.transfer.suspended:
+            return self.stall_timeout_s
         began = self._last_chunk_at if self.first_token_s else self._granted_at
         limit = began + self.stall_timeout_s
         return limit - self._services.clock.monotonic()
--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -70,7 +70,14 @@
     it again if a reused connection is closed before a response arrives.
     """
 
-    __slots__ = ('_abort_future', '_aborted', 'connected', 'sent')
+    __slots__ = (
+        '_abort_future',
+        '_aborted',
+        '_on_resume',
+        'connected',
+        'sent',
+        'suspended',
+    )
 
     def __init__(self) -> None:
         """Start with the request unsent."""
@@ -79,8 +86,11 @@
         #: Whether a new connection was opened, on which there can be no
         #: response to an earlier request.
         self.connected = False
+        #: Whether the body of the response is not read for now.
+        self.suspended = False
         self._aborted = False
         self._abort_future: asyncio.Future[None] | None = None
+        self._on_resume: Callable[[], None] | None = None
 
     @property
     def aborted(self) -> bool:
@@ -106,8 +116,27 @@
         self.sent = True
         return True
 
-    def bind(self, done: 'asyncio.Future[None]') -> None:
-        """Set a future to be resolved when the exchange is aborted."""
+    def suspend(self) -> None:
+        """Stop reading the body of the response until it is resumed."""
+        self.suspended = True
+
+    def resume(self) -> None:
+        """Read the body of the response on."""
+        if self.suspended and self._on_resume:
+            self._on_resume()
+        self.suspended = False
+
+    def bind(
+        self,
+        done: 'asyncio.Future[None]',
+        on_resume: Callable[[], None] | None = None,
+    ) -> None:
+        """Bind the exchange.
+
+        :param done: resolved when the exchange is aborted.
+        :param on_resume: called when the exchange is resumed.
+        """
+        self._on_resume = on_resume
         self._abort_future = done
         if self._aborted and not done.done():
             done.set_result(None)
@@ -303,7 +332,7 @@
         self._driver = driver
         self._handle = handle
         self._set_options(handle, fresh=fresh)
-        self._transfer.bind(self._done)
+        self._transfer.bind(self._done, self._resume)
         driver.start(handle, self._handle_done, self._find_excess)
         try:
             await self._done
@@ -425,6 +454,8 @@
     def _handle_chunk(self, chunk: bytes) -> int | None:
         if self._transfer.aborted:
             return -1
+        if self._transfer.suspended:
+            return int(pycurl.WRITEFUNC_PAUSE)
         if self._is_turn_spent():
             self._driver.resume(self._handle)
             return int(pycurl.WRITEFUNC_PAUSE)
@@ -444,6 +475,10 @@
             return -1
         return None
 
+    def _resume(self) -> None:
+        if self._result is None:
+            self._driver.resume(self._handle)
+
     def _is_turn_spent(self) -> bool:
         """Count a chunk; return whether it must wait for the next iteration."""
         if self._turn != self._driver.turn:
--- a/src/anvilhall/relay.py
+++ b/src/anvilhall/relay.py
@@ -56,9 +56,10 @@
 from anvilhall.relaying import Relay
 from anvilhall.relayjobs import CallerRequest, RelayJob, RelayServices
 
-#: Bytes of a response that may be written without a flush; beyond them, the
-#: caller reads too slowly and its connection is closed.
-_UNSENT_LIMIT_BYTES = 1024 * 1024
+#: Bytes of a response that wait for a caller that reads slowly: above the first
+#: number, the runner's response is not read on; up to the second one, it is.
+_UNSENT_LIMIT_BYTES = 256 * 1024
+_UNSENT_LOW_BYTES = 64 * 1024
 #: ``Retry-After`` in seconds while the instance is not ready, has no pool for
 #: the route or is shutting down.
 _NOT_READY_RETRY_S = 0.5
@@ -442,12 +443,8 @@
         self._context.services.metrics.bytes_relayed.inc(len(chunk))
         self.unsent += len(chunk)
         self._written += len(chunk)
-        if self.unsent > _UNSENT_LIMIT_BYTES:
-            # The caller does not read, and the buffer must stay bounded.
-            self._log_close(SLOW_CALLER)
-            self._connection.close()
-            self.on_connection_close()
-            return
+        if self.unsent > _UNSENT_LIMIT_BYTES and self._relay:
+            self._relay.suspend()
         self._next_chunks.append(chunk)
         if not self._flushing:
             self._write_next()
@@ -475,6 +472,9 @@
         self.unsent -= size
         if not self._answered:
             self._write_next()
+        relay = self._relay
+        if relay and relay.suspended and self.unsent <= _UNSENT_LOW_BYTES:
+            relay.resume()
 
     async def _run(self, relay: Relay, job: RelayJob) -> None:
         self._relay = relay
@@ -554,7 +554,7 @@
             self._refuse(error)
             return
         self._count_error(error)
-        self._log_close(error.code)
+        self._log_close(SLOW_CALLER if relay.suspended else error.code)
         # Closing early tells the caller that the response is incomplete.
         self._connection.close()
 
--- a/src/anvilhall/relaying.py
+++ b/src/anvilhall/relaying.py
@@ -49,6 +49,7 @@
     """One relayed request, which may take several attempts."""
 
     __slots__ = (
+        '_attempts',
         '_avoid',
         '_delivered',
         '_event_framer',
@@ -66,6 +67,7 @@
         'response_started',
         'runners',
         'sends',
+        'suspended',
         'versions',
         'waiting',
         'waits_s',
@@ -81,6 +83,10 @@
         self._job = job
         self._sink = sink
         self._services = services
+        #: Attempts that are under way: two while a stream may move.
+        self._attempts: list[RelayAttempt] = []
+        #: Whether the response is not read on, as the caller is slower.
+        self.suspended = False
         self._avoid: tuple[str, ...] = ()
         #: Version at which the stream is remembered; ``None``: it is not yet.
         self._noted: str | None = None
@@ -168,6 +174,18 @@
             else:
                 return
 
+    def suspend(self) -> None:
+        """Stop reading the response, as the caller reads more slowly."""
+        self.suspended = True
+        for attempt in self._attempts:
+            attempt.suspend()
+
+    def resume(self) -> None:
+        """Read the response on."""
+        self.suspended = False
+        for attempt in self._attempts:
+            attempt.resume()
+
     def check_shutdown(self) -> None:
         """Refuse to begin what may not end before this instance does.
 
@@ -271,6 +289,7 @@
                 services.activity,
                 services.metrics,
             )
+        self._attempts.append(attempt)
         return attempt
 
     async def _run_attempt(self) -> None:
@@ -317,6 +336,7 @@
         if attempt.transfer.sent and not attempt.not_run:
             self._runs += 1
             self._may_have_run = True
+        self._attempts.remove(attempt)
         attempt.close()
 
     def handle_head(self, status: int, headers: HTTPHeaders) -> None:
