Restart a background task after a cancellation that is not its own

What callers saw: whatever the task kept going (timeouts, heartbeats, feeds) stood still from then on, and no line said so.

Cause: TaskSet restarted work after an Exception only. A cancellation that its work awaits, such as that of a future or of another task, ended the task for good, like the cancellation of the task itself.

Change: the task ends only if it has been cancelled itself; any other cancellation is reported like a fault, and the work is started again.

Evidence: test_task_is_started_again_after_a_fault[CancelledError] fails on the old code and passes now; [RuntimeError] passed before.

--- a/src/anvilhall/tasks.py
+++ b/src/anvilhall/tasks.py
@@ -74,7 +74,9 @@
         while True:
             try:
                 await work()
-            except Exception as error:  # noqa: BLE001
+            except (Exception, asyncio.CancelledError) as error:
+                if is_cancelled():
+                    raise
                 report_internal_error(self._metrics, error)
             await asyncio.sleep(_RESTART_S)
 
