Let a fault in one shard stop no other shard

What callers saw: while the shard of one pool failed, requests of other pools waited beyond their deadline without an answer, and changes of runners, of settings and of the live instances did not reach those pools.

Cause: the loops over shards in Owner and Broker ended with the first fault, in a tick as well as in a change. While a change of the view could not be applied, Fleet.tick did not run the broker at all.

Change: the outbox runs the parts of a step one by one. In a tick, and when an instance is dropped, faults go to the receiver of errors, or the first is raised at the end if there is none. In a change (refresh, set_tree) the first fault is raised after the last part, so that the change is repeated. Waiting requests are checked one by one too. The fleet runs the broker in each tick.

Evidence: on the old code, the cases of the four new tests of test_broker.py in which the broken pool is the first one (8 of 16), and test_timeouts_are_applied_although_the_view_is_not fail; all pass now, as do test_outbox.py, test_fleet.py, test_grant_leaks.py and test_shard.py.

--- a/src/anvilhall/core/broker.py
+++ b/src/anvilhall/core/broker.py
@@ -194,6 +194,7 @@
         '_prompts',
         '_running',
         '_send',
+        '_unreported',
         'fallback',
         'limits',
         'on_wait',
@@ -221,6 +222,8 @@
         self._send = send
         self._forward = forward
         self._owners: dict[str, str | None] = {}
+        #: Pools whose owner does not know all running requests.
+        self._unreported: set[str] = set()
         self._pending: dict[str, _Pending] = {}
         self._running: dict[str, _Running] = {}
         self._prompts = RecentPrompts()
@@ -308,25 +311,41 @@
 
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings."""
-        with self.outbox.run_step():
-            self.owner.set_tree(tree)
-            self.fallback.owner.set_tree(tree)
-            self.refresh(tree)
+        self.outbox.run_change(
+            (
+                functools.partial(self.owner.set_tree, tree),
+                functools.partial(self.fallback.owner.set_tree, tree),
+                functools.partial(self.refresh, tree),
+            ),
+        )
 
     def refresh(self, tree: Tree) -> None:
         """Apply a change of live instances, runners or settings.
 
         Takes over or resigns shards, and moves requests to the new owners.
         """
-        with self.outbox.run_step():
-            for pool in tree.pools:
-                runners = self._directory.list_runners(pool)
-                self.owner.set_endpoints(pool, runners)
-                self.fallback.owner.set_endpoints(pool, runners)
-            changed = set(filter(self._update_owner, tree.pools))
-            for reported in sorted(changed | self._retarget_requests()):
-                self.report_inventory(reported)
-            self.tick()
+        self.outbox.run_change(
+            [
+                *(
+                    functools.partial(update, pool)
+                    for pool in tree.pools
+                    for update in (
+                        functools.partial(
+                            _update_runners, self.owner, self._directory
+                        ),
+                        functools.partial(
+                            _update_runners,
+                            self.fallback.owner,
+                            self._directory,
+                        ),
+                        self._update_owner,
+                    )
+                ),
+                self._retarget_requests,
+                self._report_moved,
+                self.tick,
+            ],
+        )
 
     def reclaim_abandoned(self) -> list[str]:
         """Release the grants of requests that ended without a release.
@@ -376,48 +395,39 @@
 
         :param instance: peer of the new link.
         """
-        for pool, owner in self._owners.items():
-            if owner == instance:
-                self.report_inventory(pool)
-
-    def report_inventory(self, pool: str) -> None:
-        """Send the inventory of a pool to the owner in the local region."""
-        owner = self._owners.get(pool)
-        if owner is None:
-            return
-        inventory = self.list_inventory(pool)
-        if owner == self._name:
-            self.owner.handle(owner, inventory)
-            return
-        try:
-            self._send(owner, inventory)
-        except PeerUnreachable:
-            # handle_link_up() sends the inventory once the link is up again.
-            return
+        self._unreported.update(
+            pool for pool, owner in self._owners.items() if owner == instance
+        )
+        self._report_moved()
 
     def tick(self) -> None:
         """Apply timeouts and send the requests that have no target."""
-        with self.outbox.run_step():
-            self.owner.tick()
-            self.fallback.owner.tick()
-            self._check_pending()
+        self.outbox.run_parts(
+            (
+                self.owner.tick,
+                self.fallback.owner.tick,
+                *(
+                    functools.partial(self._check_pending, pending)
+                    for pending in self._pending.values()
+                ),
+            ),
+        )
 
-    def _check_pending(self) -> None:
+    def _check_pending(self, pending: _Pending) -> None:
         now = self._clock.monotonic()
-        for pending in self._pending.values():
-            if pending.target is None:
-                pending.renew(now)
-                self._send_ask(pending)
-            elif self.fallback.is_overdue(
-                pending.measure_silence_s(self._name, now)
-            ):
-                self.fallback.mark_unresponsive(pending.target)
-                self._report(pending.target, _build_release(pending.ask))
-                pending.renew(now)
-                self._ask_fallback(pending)
-            elif now - pending.asked_at >= SPILL_AFTER_S:
-                pending.asked_at = now
-                self._spill(pending)
+        if pending.target is None:
+            pending.renew(now)
+            self._send_ask(pending)
+        elif self.fallback.is_overdue(
+            pending.measure_silence_s(self._name, now)
+        ):
+            self.fallback.mark_unresponsive(pending.target)
+            self._report(pending.target, _build_release(pending.ask))
+            pending.renew(now)
+            self._ask_fallback(pending)
+        elif now - pending.asked_at >= SPILL_AFTER_S:
+            pending.asked_at = now
+            self._spill(pending)
 
     def handle_link_down(self, instance: str) -> None:
         """Clear the target of requests that wait at an unreachable instance.
@@ -566,7 +576,9 @@
         )
 
     def _report(
-        self, target: str | None, message: Progress | Release | HeldList
+        self,
+        target: str | None,
+        message: Progress | Release | HeldList | Inventory,
     ) -> None:
         if target is None:
             return
@@ -582,26 +594,19 @@
                 # or asks which grants are held once a link is up again.
                 return
 
-    def _update_owner(self, pool: str) -> bool:
-        """Take over or resign the shard of a pool.
-
-        :return: whether another instance than before owns it.
-        """
+    def _update_owner(self, pool: str) -> None:
+        """Take over or resign the shard of a pool."""
         owner = self._directory.find_owner(pool)
+        if owner != self._owners.get(pool):
+            self._unreported.add(pool)
+        self._owners[pool] = owner
         if owner != self._name:
             self.owner.resign(pool)
         elif pool not in self.owner.pools:
             self.owner.take_over(pool, set(self._directory.live) - {owner})
-        before = self._owners.get(pool)
-        self._owners[pool] = owner
-        return owner != before
 
-    def _retarget_requests(self) -> set[str]:
-        """Move requests from former owners to the current ones.
-
-        :return: pools of the running ones, which their owners don't know yet.
-        """
-        moved: set[str] = set()
+    def _retarget_requests(self) -> None:
+        """Move requests from former owners to the current ones."""
         for running in self._running.values():
             owner = self._directory.find_owner(running.ask.pool)
             if owner in {None, running.target}:
@@ -609,13 +614,20 @@
             if _runs_in_local_region(running, self._directory):
                 self._report(running.target, _build_release(running.ask))
                 running.target = owner
-                moved.add(running.ask.pool)
+                self._unreported.add(running.ask.pool)
         for pending in self._pending.values():
             owner = self._directory.find_owner(pending.ask.pool)
             if owner and pending.target not in {owner, None}:
                 self._report(pending.target, _build_release(pending.ask))
                 pending.detach()
-        return moved
+
+    def _report_moved(self) -> None:
+        """Tell owners of the running requests that they do not know yet."""
+        while self._unreported:
+            pool = self._unreported.pop()
+            owner = self._owners.get(pool)
+            if owner:
+                self._report(owner, self.list_inventory(pool))
 
     def _route_answer(self, instance: str, message: OwnerMessage) -> None:
         if instance == self._name:
@@ -624,6 +636,10 @@
             self._forward(instance, message)
 
 
+def _update_runners(owner: Owner, directory: Directory, pool: str) -> None:
+    owner.set_endpoints(pool, directory.list_runners(pool))
+
+
 def _finish_refusal(
     waiting: dict[str, _Pending], pending: _Pending, error: RequestRefused
 ) -> None:
--- a/src/anvilhall/core/fallback.py
+++ b/src/anvilhall/core/fallback.py
@@ -4,9 +4,9 @@
 
 from anvilhall import defaults
 from anvilhall.clock import Clock
-from anvilhall.core.messages import Ask, HeldList, Progress, Release
+from anvilhall.core.messages import Ask
 from anvilhall.core.outbox import Outbox
-from anvilhall.core.owner import Deliver, Owner
+from anvilhall.core.owner import Deliver, Owner, RequesterMessage
 from anvilhall.core.quarantine import Quarantine
 
 
@@ -74,7 +74,7 @@
         self.owner.adopt_limits(limits)
         self.owner.handle(self._name, ask)
 
-    def report(self, message: Progress | Release | HeldList) -> None:
+    def report(self, message: RequesterMessage) -> None:
         """Handle a report on requests in a local shard."""
         self.owner.handle(self._name, message)
 
--- a/src/anvilhall/core/outbox.py
+++ b/src/anvilhall/core/outbox.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
 
@@ -53,6 +53,42 @@
         finally:
             self._active = False
 
+    def run_parts(self, parts: Iterable[Callable[[], None]]) -> None:
+        """Run the parts of a step; report the faults of those that fail.
+
+        :raises Exception: the first fault, after the last part, if there is no
+            receiver.
+        """
+        errors = self._run_each(parts)
+        if self.on_error:
+            for error in errors:
+                self.on_error(error)
+        elif errors:
+            raise errors[0]
+
+    def run_change(self, parts: Iterable[Callable[[], None]]) -> None:
+        """Run the parts of a change that is repeated unless all succeed.
+
+        :raises Exception: the first fault, after the last part.
+        """
+        errors = self._run_each(parts)
+        if self.on_error:
+            for error in errors[1:]:
+                self.on_error(error)
+        if errors:
+            raise errors[0]
+
+    def _run_each(self, parts: Iterable[Callable[[], None]]) -> list[Exception]:
+        errors: list[Exception] = []
+        with self.run_step():
+            for part in parts:
+                try:
+                    part()
+                except Exception as error:  # noqa: BLE001
+                    # One broken pool must not keep the others from theirs.
+                    errors.append(error)
+        return errors
+
     def _deliver(self) -> list[BaseException]:
         errors: list[BaseException] = []
         while self._callbacks:
--- a/src/anvilhall/core/owner.py
+++ b/src/anvilhall/core/owner.py
@@ -141,12 +141,14 @@
     def set_tree(self, tree: Tree) -> None:
         """Apply changed settings; resign shards whose pool was removed."""
         self._tree = tree
-        with self._outbox.run_step():
-            for pool, owned in list(self._owned.items()):
-                if pool in tree.pools:
-                    owned.shard.set_tree(tree)
-                else:
-                    self.resign(pool)
+        self._outbox.run_change(
+            [
+                functools.partial(owned.shard.set_tree, tree)
+                if pool in tree.pools
+                else functools.partial(self.resign, pool)
+                for pool, owned in self._owned.items()
+            ],
+        )
 
     def set_endpoints(
         self, pool: str, endpoints: Iterable[RunnerEndpoint]
@@ -235,18 +237,24 @@
 
     def drop_sender(self, sender: str) -> None:
         """Release all requests of an instance that left or failed."""
-        with self._outbox.run_step():
-            for owned in self._owned.values():
-                owned.awaited_peers.discard(sender)
-                owned.shard.drop_sender(sender)
-                self._dispatch(owned)
+        self._outbox.run_parts(
+            [
+                functools.partial(self._drop_sender, owned, sender)
+                for owned in self._owned.values()
+            ],
+        )
 
     def tick(self) -> None:
         """Dispatch all shards: expiry and probes depend on time alone."""
-        with self._outbox.run_step():
-            for owned in self._owned.values():
-                self._dispatch(owned)
-            self._check_held()
+        self._outbox.run_parts(
+            [
+                *(
+                    functools.partial(self._dispatch, owned)
+                    for owned in self._owned.values()
+                ),
+                self._check_held,
+            ],
+        )
 
     def _check_held(self) -> None:
         """Ask instances that are silent which grants they still hold.
@@ -285,6 +293,11 @@
             owned.awaited_peers.discard(sender)
             _adopt_inventory(shard, sender, message, now)
 
+    def _drop_sender(self, owned: _OwnedShard, sender: str) -> None:
+        owned.awaited_peers.discard(sender)
+        owned.shard.drop_sender(sender)
+        self._dispatch(owned)
+
     def _dispatch(self, owned: _OwnedShard) -> None:
         now = self._clock.monotonic()
         if owned.is_settled(now):
--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -259,15 +259,17 @@
 
     def tick(self) -> None:
         """Apply the changes since the last tick once, then run the broker."""
-        if self._stale:
-            self._stale = False
-            try:
+        try:
+            if self._stale:
+                self._stale = False
                 self._apply_view()
-            except Exception:
-                # The next tick applies the rest of the change.
-                self._stale = True
-                raise
-        self.broker.tick()
+        except BaseException:
+            # The next tick applies the rest of the change.
+            self._stale = True
+            raise
+        finally:
+            # Requests must not outlast their limits because of the change.
+            self.broker.tick()
 
     def leave(self) -> None:
         """Announce the shutdown and hand all shards over to live instances."""
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -1,5 +1,7 @@
 """Owners that answer late, not at all, or from a stale view."""
 
+import copy
+
 import msgspec
 import pytest
 
@@ -20,6 +22,7 @@
 )
 from anvilhall.core.owner import NOT_OWNER, Owner
 from anvilhall.core.roster import RunnerEndpoint
+from anvilhall.core.shard import Shard
 from anvilhall.core.tree import Tree
 from anvilhall.exceptions import UnknownClass, UpstreamCut, VersionGone
 
@@ -659,3 +662,123 @@
             owner.handle('e1', HeldList('desk', ('q0',), question.asked_at))
     assert owner.get_shard('desk').running_count == 1
     assert 2 <= len(asked) <= 4
+
+
+def _build_two_pools(clock, tree):
+    """Return the broker of an instance that owns the shards of two pools."""
+    directory = Directory('e1', '')
+    directory.set_live(['e1'])
+    members = (
+        Member('e1', 'e1:1', 'd'),
+        Member('r1', 'a:1', 'd', 'desk'),
+        Member('c1', 'b:1', 'd', 'chat'),
+    )
+    directory.set_list(MemberList(members=members))
+    broker = Broker(
+        'e1',
+        clock,
+        directory,
+        lambda instance, message: None,
+        lambda instance, message: None,
+        timeouts=TIMEOUTS,
+    )
+    broker.set_tree(tree)
+    return broker, directory
+
+
+def _break_shard(monkeypatch, shard, name):
+    """Make a method of one shard fail."""
+    method = getattr(Shard, name)
+
+    def fail(each, *arguments):
+        if each is shard:
+            raise RuntimeError('injected')
+        return method(each, *arguments)
+
+    monkeypatch.setattr(Shard, name, fail)
+
+
+@pytest.fixture(params=[False, True], ids=['raised', 'reported'])
+def call_broken(request):
+    """Return a function that calls a broker whose fault is noted."""
+
+    def call(broker, function, *arguments):
+        faults = []
+        if request.param:
+            broker.outbox.on_error = faults.append
+        try:
+            function(*arguments)
+        except RuntimeError as fault:
+            faults.append(fault)
+        assert faults
+
+    return call
+
+
+# Guards against requests of all pools that wait beyond their deadline because
+# of a fault in the shard of one pool.
+@pytest.mark.parametrize('pool', ['chat', 'desk'])
+def test_broken_shard_stops_no_other_shard(
+    clock, tree, monkeypatch, call_broken, pool
+):
+    broker, _ = _build_two_pools(clock, tree)
+    other = {'chat': 'desk', 'desk': 'chat'}[pool]
+    class_name = {'chat': 'quick', 'desk': 'lookup'}[other]
+    handlers = []
+    for number in range(20):
+        handler = _Handler()
+        handlers.append(handler)
+        ask = Ask(other, f'q{number}', class_name, 'ann', 1, 1, 1.0)
+        broker.ask(ask, handler)
+    assert not all(handler.grant for handler in handlers)
+    _break_shard(monkeypatch, broker.owner.get_shard(pool), 'dispatch')
+    clock.advance(2)
+    call_broken(broker, broker.tick)
+    assert all(handler.grant or handler.error for handler in handlers)
+
+
+@pytest.mark.parametrize('pool', ['chat', 'desk'])
+def test_broken_shard_keeps_no_other_from_a_change(
+    clock, tree, monkeypatch, call_broken, pool
+):
+    broker, directory = _build_two_pools(clock, tree)
+    other = {'chat': 'desk', 'desk': 'chat'}[pool]
+    shard = broker.owner.get_shard(other)
+    _break_shard(monkeypatch, broker.owner.get_shard(pool), 'set_runners')
+    members = (
+        Member('e1', 'e1:1', 'd'),
+        *(Member(f'new-{each}', 'a:2', 'd', each) for each in (pool, other)),
+    )
+    directory.set_list(MemberList(members=members))
+    call_broken(broker, broker.refresh, tree)
+    assert set(shard.runners) == {f'new-{other}'}
+
+
+@pytest.mark.parametrize('pool', ['chat', 'desk'])
+def test_broken_shard_keeps_no_other_from_the_settings(
+    clock, tree, monkeypatch, call_broken, pool
+):
+    broker, _ = _build_two_pools(clock, tree)
+    _break_shard(monkeypatch, broker.owner.get_shard(pool), 'set_tree')
+    fewer = copy.copy(tree)
+    fewer.pools = {pool: tree.pools[pool]}
+    call_broken(broker, broker.set_tree, fewer)
+    assert broker.owner.pools == {pool}
+
+
+# Guards against slots that stay taken because one shard has not dropped the
+# requests of an instance that is gone.
+@pytest.mark.parametrize('pool', ['chat', 'desk'])
+def test_broken_shard_keeps_no_other_from_dropping_an_instance(
+    clock, tree, monkeypatch, call_broken, pool
+):
+    broker, _ = _build_two_pools(clock, tree)
+    other = {'chat': 'desk', 'desk': 'chat'}[pool]
+    class_name = {'chat': 'quick', 'desk': 'lookup'}[other]
+    ask = Ask(other, 'q', class_name, 'ann', 1, 1, 1.0)
+    broker.owner.handle('e2', ask)
+    shard = broker.owner.get_shard(other)
+    assert shard.running_count == 1
+    _break_shard(monkeypatch, broker.owner.get_shard(pool), 'drop_sender')
+    call_broken(broker, broker.owner.drop_sender, 'e2')
+    assert not shard.running_count
--- a/tests/test_whole_changes.py
+++ b/tests/test_whole_changes.py
@@ -75,6 +75,28 @@
     asyncio.run(scenario())
 
 
+# Guards against requests that wait beyond their limits while a change of the
+# view can't be applied.
+def test_timeouts_are_applied_although_the_view_is_not(monkeypatch):
+    async def scenario():
+        async with run_site() as site:
+            gateway = site.gateways['g1']
+            ticks = []
+            tick = Broker.tick
+
+            def note(broker):
+                ticks.append(broker)
+                tick(broker)
+
+            monkeypatch.setattr(Fleet, '_update_links', _fail)
+            await site.add_runner('desk-1')
+            await wait_until(lambda: _count_errors(gateway))
+            monkeypatch.setattr(Broker, 'tick', note)
+            await wait_until(lambda: ticks)
+
+    asyncio.run(scenario())
+
+
 # Guards against a process that does not end after SIGTERM, as one connection
 # does not close.
 def test_stop_ends_although_a_connection_does_not_close(monkeypatch):
