Apply settings and the handover of shards again after a fault

What callers saw: after one fault at a change of the settings, a route whose pool was new had no runner at this instance until the next change.

Cause: Fleet.set_tree had no retry, unlike a change of the view. A fault in Fleet.leave could leave the shards with an instance that was stopping, and a fault in its announcement kept it from handing them over at all.

Change: the fleet keeps the settings that are not applied whole, and each tick applies them again. leave() marks the view as stale first, and hands the shards over although the announcement fails. The announcement itself is not repeated.

--- a/src/anvilhall/fleet.py
+++ b/src/anvilhall/fleet.py
@@ -76,6 +76,7 @@
         '_shares_registry',
         '_stale',
         '_tree',
+        '_unapplied',
         'broker',
         'get_settings_position',
         'on_work',
@@ -106,6 +107,8 @@
         self._clock = clock
         self._metrics = metrics
         self._tree = Tree({})
+        #: Settings that have not been applied whole yet.
+        self._unapplied: Tree | None = None
         self._retirement = Retirement()
         #: Whether this instance is shutting down and gives up ownership.
         self._leaving = False
@@ -209,10 +212,19 @@
             self._try_send(name, message)
 
     def set_tree(self, tree: Tree) -> None:
-        """Apply changed settings."""
-        self._tree = self._retirement.extend(tree, self._clock.monotonic())
-        self.broker.set_tree(self._tree)
-        self._update_links()
+        """Apply changed settings.
+
+        After a fault, :meth:`tick` applies them again.
+        """
+        self._unapplied = tree
+        try:
+            self._tree = self._retirement.extend(tree, self._clock.monotonic())
+            self.broker.set_tree(self._tree)
+            self._update_links()
+        except BaseException:
+            self._mark_stale()
+            raise
+        self._unapplied = None
 
     def set_member_list(self, member_list: MemberList) -> None:
         """Apply the platform's member list."""
@@ -262,6 +274,8 @@
         try:
             if self._stale:
                 self._stale = False
+                if self._unapplied:
+                    self.set_tree(self._unapplied)
                 self._apply_view()
         except BaseException:
             # The next tick applies the rest of the change.
@@ -274,8 +288,12 @@
     def leave(self) -> None:
         """Announce the shutdown and hand all shards over to live instances."""
         self._leaving = True
-        self.broadcast(self._membership.leave())
-        self._apply_view()
+        # The next tick applies what fails here.
+        self._mark_stale()
+        try:
+            self.broadcast(self._membership.leave())
+        finally:
+            self._apply_view()
 
     def close(self) -> None:
         """Close all links."""
