End both tasks of the claims stream when one of them fails

What callers saw: keyed requests were refused with an unavailable claim after a fault in an append, until another claim was made.

Cause: gather() leaves the other task running when one fails, so each restart of ClaimManager.run added a second reader or writer. The writer clears its event before it appends; after a fault or a cut in the append, nothing set it again.

Change: run() cancels both tasks and waits for their end. It begins with a check of what is to be written.

--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -116,7 +116,19 @@
 
     async def run(self) -> None:
         """Follow and append to the claims stream until cancelled."""
-        await asyncio.gather(self._follow(), self._write())
+        # What a cut append has left is to be written.
+        self._write_wanted.set()
+        tasks = [
+            asyncio.ensure_future(self._follow()),
+            asyncio.ensure_future(self._write()),
+        ]
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            # After a fault in one task, this method is run again.
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
 
     def check(self, job: Job) -> None:
         """Refuse a request whose key has a claim in the ledger.
