Answer and count faults before a job at the own interface

What callers saw: after a cancellation of something read before the job was served, the connection was closed without an answer. After an exception they got the error of an internal fault, but no count showed it.

Cause: tornado answers exceptions of a handler, but not a CancelledError, and its log line is no part of this program's count of faults. Only calls of plain services handled a cancellation while their job was built.

Change: a cancellation while the head is checked or a chat job is built is answered with an internal fault; exceptions that reach tornado are counted.

--- a/src/anvilhall/callers.py
+++ b/src/anvilhall/callers.py
@@ -6,13 +6,19 @@
 import uuid
 import weakref
 from http import HTTPStatus
+from types import TracebackType
 from typing import Any
 
 import msgspec
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream
-from tornado.web import Application, RequestHandler, stream_request_body
+from tornado.web import (
+    Application,
+    HTTPError,
+    RequestHandler,
+    stream_request_body,
+)
 
 from anvilhall.answers import AnswerCache, CachedAnswer
 from anvilhall.bodies import RequestBody
@@ -160,6 +166,11 @@
             # The body stays unread, so the connection can't be reused.
             self.set_header('Connection', 'close')
             self.refuse(error)
+        except asyncio.CancelledError as cancelled:
+            # No task of this instance runs yet: something that was read has
+            # been cancelled.
+            self.set_header('Connection', 'close')
+            self._refuse_fault(cancelled)
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body, unless it is refused."""
@@ -237,6 +248,17 @@
             self.set_header('Connection', 'close')
             self.refuse(ShuttingDown(retry_after_s=_STOPPED_RETRY_S))
 
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        value: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        """Log and count a fault for which tornado sends an error response."""
+        super().log_exception(typ, value, tb)
+        if value and not isinstance(value, HTTPError):
+            report_internal_error(self.context.services.metrics, value)
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Send an error response for a tornado error or an internal fault."""
         error = AnvilhallError()
@@ -370,6 +392,10 @@
             f'most {_DEADLINE_LIMIT_S:.0f}, got {text!r}',
         )
 
+    def _refuse_fault(self, fault: BaseException) -> None:
+        report_internal_error(self.context.services.metrics, fault)
+        self.refuse(AnvilhallError(type(fault).__name__))
+
     def _send_fault(
         self, fault: BaseException, execution: Execution, sink: 'HandlerSink'
     ) -> None:
@@ -583,6 +609,9 @@
         except AnvilhallError as error:
             self.refuse(error)
             return
+        except asyncio.CancelledError as cancelled:
+            self._refuse_fault(cancelled)
+            return
         if job.chat and job.chat.stream:
             await self.serve_job(job, StreamSink(self))
         elif job.chat:
@@ -620,8 +649,7 @@
             return
         except asyncio.CancelledError as cancelled:
             # Only a request that runs is cancelled by this instance.
-            report_internal_error(self.context.services.metrics, cancelled)
-            self.refuse(AnvilhallError(f'{type(cancelled).__name__}'))
+            self._refuse_fault(cancelled)
             return
         if self._finished or self._caller_left:
             # It was refused, or its caller has left, during the look-up.
--- a/tests/test_injected_faults_own.py
+++ b/tests/test_injected_faults_own.py
@@ -5,13 +5,14 @@
 import pytest
 
 from anvilhall.answers import AnswerCache
-from anvilhall.callers import BufferedSink, ReplySink, StreamSink
+from anvilhall.callers import BufferedSink, CallerHandler, ReplySink, StreamSink
 from anvilhall.claims import ClaimManager
 from anvilhall.core.activity import RunnerActivity
 from anvilhall.core.advertised import AdvertisedLimits
 from anvilhall.core.broker import Broker
 from anvilhall.core.retries import RetryBudget
 from anvilhall.core.shutdown import Shutdown
+from anvilhall.core.tree import Tree
 from anvilhall.core.verification import Verification
 from anvilhall.events import DONE_EVENT, EventReader
 from anvilhall.execution import Execution, _Attempt
@@ -160,3 +161,40 @@
 
     asyncio.run(scenario())
     assert injection.hits
+
+
+# Guards against a request whose caller gets no answer, or whose fault is not
+# counted, because of a fault before it is sent to a runner.
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize('kind', ['order', 'chat'])
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [
+        (CallerHandler, '_check_head'),
+        (CallerHandler, 'check_body'),
+        (CallerHandler, 'build_job'),
+        (Gate, 'admit'),
+        (Gate, 'count_request'),
+        (Tree, 'find_account'),
+    ],
+)
+def test_fault_before_the_job_is_answered_and_counted(
+    root_json, monkeypatch, owner, name, kind, fault
+):
+    injection = Injection('before', fault)
+
+    async def scenario():
+        async with open_cluster(root_json) as cluster:
+            instance = cluster.instances['entry-0']
+            monkeypatch.setattr(
+                owner, name, injection.wrap(getattr(owner, name))
+            )
+            answer = await _send(cluster, kind)
+            assert answer.whole
+            assert answer.status == 500
+            faults = instance.metrics.internal_errors.labels(fault.__name__)
+            assert injection.hits == faults._value.get() == 1
+            await wait_for(lambda: not _list_left(instance))
+            assert not _count_runs(cluster)
+
+    asyncio.run(scenario())
