Bound the wait of a repeat by its deadline

What callers saw: a request with the idempotency key of one under way got no answer before that one ended, also beyond its own, shorter deadline.

Cause: the wait in AnswerCache.find comes before the job is served, so its deadline was not applied to it.

Change: the wait ends at the job's deadline; the claim of the other request then gives the error, as for a repeat at another instance.

--- a/src/anvilhall/answers.py
+++ b/src/anvilhall/answers.py
@@ -9,6 +9,7 @@
 
 from anvilhall import defaults
 from anvilhall.claims import ClaimManager
+from anvilhall.clock import Clock
 from anvilhall.core.messages import AnswerAsk, AnswerOffer, Message
 from anvilhall.exceptions import (
     AlreadyRun,
@@ -46,13 +47,24 @@
 
     :param claims: checks idempotency keys against the ledger.
     :param fleet: links to the other instances.
+    :param clock: source of time.
     """
 
-    __slots__ = ('_claims', '_fleet', '_pending', '_responses', '_running')
-
-    def __init__(self, claims: ClaimManager, fleet: Fleet) -> None:
+    __slots__ = (
+        '_claims',
+        '_clock',
+        '_fleet',
+        '_pending',
+        '_responses',
+        '_running',
+    )
+
+    def __init__(
+        self, claims: ClaimManager, fleet: Fleet, clock: Clock
+    ) -> None:
         """Create an empty cache and handle its messages."""
         self._claims = claims
+        self._clock = clock
         self._fleet = fleet
         self._responses: collections.OrderedDict[_CacheKey, CachedAnswer] = (
             collections.OrderedDict()
@@ -89,7 +101,8 @@
     async def find(self, job: Job) -> CachedAnswer | None:
         """Return the response to an earlier request with the same key.
 
-        If that request is running on this instance, waits until it ends.
+        If that request is running on this instance, waits until it ends, or
+        until the job's deadline.
 
         :return: ``None`` if no earlier request is known.
         :raises AlreadyRun: if the earlier request has run and its response is
@@ -103,7 +116,12 @@
             return None
         running = self._running.get(_get_cache_key(job))
         if running:
-            await asyncio.shield(running)
+            left_s = job.deadline_at - self._clock.monotonic()
+            # At the deadline, the claim of the other request says what became
+            # of it.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await asyncio.shield(running)
         try:
             self._claims.check(job)
         except (AlreadyRun, ClaimedBefore, StillRunning):
--- a/src/anvilhall/instance.py
+++ b/src/anvilhall/instance.py
@@ -149,7 +149,7 @@
             self.metrics,
             dependencies.rng,
         )
-        self.answer_cache = AnswerCache(self._claims, self._fleet)
+        self.answer_cache = AnswerCache(self._claims, self._fleet, clock)
         self.gate = Gate(self._get_tree, self.metrics)
         self.services = Services(
             self._fleet.broker,
