--- a/src/anvilhall/claims.py
+++ b/src/anvilhall/claims.py
@@ -116,8 +116,9 @@
 
     async def run(self) -> None:
         """Follow and append to the claims stream until cancelled."""
-        # What a cut append has left is to be written.
-        self._write_wanted.set()
+        if not self.all_written:
+            # A cut append has left something to write.
+            self._write_wanted.set()
         tasks = [
             asyncio.ensure_future(self._follow()),
             asyncio.ensure_future(self._write()),
