Forget a transfer's exchange when it has ended

What callers would see: bodies stay in memory again until the garbage collector runs, and a caller that reads on late would resume a transfer whose handle is in use by another request.

--- a/src/anvilhall/outbound.py
+++ b/src/anvilhall/outbound.py
@@ -141,6 +141,10 @@
         if self._aborted and not done.done():
             done.set_result(None)
 
+    def unbind(self) -> None:
+        """Forget the exchange, which has ended: its handle may be reused."""
+        self._on_resume = None
+
 
 class Outbound(Protocol):
     """Sends HTTP requests."""
@@ -233,7 +237,7 @@
             if exchange.ended_within_head:
                 self._avoid_pooled_connections(call)
             # Tracebacks of errors must not keep the body.
-            exchange.drop_call()
+            exchange.close()
             del call
 
     def _avoid_pooled_connections(self, call: Call) -> None:
@@ -321,8 +325,9 @@
             self._result[0] or self._head_complete
         )
 
-    def drop_call(self) -> None:
-        """Forget the request, which has been sent or will not be."""
+    def close(self) -> None:
+        """Forget the request and the transfer, as the exchange has ended."""
+        self._transfer.unbind()
         del self.call
 
     async def run(self, driver: CurlDriver, *, fresh: bool) -> Reply:
