--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -123,6 +123,9 @@
 def test_many_callers_that_do_not_read_take_bounded_memory():
     async def scenario():
         async with _run_site('brief', 50 * _ANSWER_BYTES) as (site, server):
+            # By default, later callers are refused for want of memory.
+            memory = site.gateways['g1'].context.memory
+            memory.limit_bytes = _CALLERS * _MEMORY_BYTES
             tracemalloc.start()
             callers = [
                 await _start(site, 'brief', number, narrow=True)
