review: show that streams of a draining runner that crashes end as complete

Tried: a release of one of two runners that stream without a length; the old one is killed 1.2 s after it reported that it drains, with 8 streams under way at two gateways on loopback. The gateways' ports now lie below those of outgoing connections, as six scripts at once had collided (1 of 12 runs).

--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -28,6 +29,8 @@
 LIMITS = {'max_header_bytes': 16384, 'max_body_bytes': 4194304, 'header_timeout_ms': 3000, 'idle_timeout_ms': 15000}
 #: The deploy file runs ``python3`` from the caller's path.
 _COMMAND = ('python3', '-m', 'anvilhall.daemon')
+#: Ports for the gateways.
+_PORTS = (18000, 32000)
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 
 
@@ -51,13 +54,22 @@
 
 
 def find_ports(count):
-    """Return free ports, which are different ones."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return free ports, which are different ones.
+
+    They lie below the range from which the kernel takes those of outgoing
+    connections, so that none of these takes one before a process listens.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -164,6 +176,7 @@
         self.store = Store()
         self.gateways = []
         self.runners = []
+        self.processes = []
 
     async def __aenter__(self):
         await self.store.start()
@@ -172,6 +185,10 @@
     async def __aexit__(self, *_):
         for each in self.gateways:
             each.stop()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         if os.environ.get('KEEP_LOGS'):
             print('logs in', self.folder)
         else:
@@ -189,6 +206,18 @@
         self.runners.append(runner)
         return runner
 
+    async def add_runner_process(self, name, service, zone='tx-central-a', *, events=0, event_s=0.1, unframed=True):
+        """Start a runner as a process of its own and wait until it listens."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, str(pathlib.Path(__file__).parent / 'runner_process.py'), name, service, zone,
+            self.store.address, str(events), str(event_s), str(int(unframed)), stdout=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(process)
+        async with asyncio.timeout(10):
+            address = (await process.stdout.readline()).decode().strip()
+        self.record.note('runner', name=name, pid=process.pid, address=address)
+        return process
+
     def add_gateway(self, name, zone='tx-central-a', **options):
         """Start a gateway."""
         gateway = Gateway(name, zone, self.store.address, self.folder, self.record, **options)
