review: show that cut answers pass as whole when a plain runner starts again at once

Tried: one of six runners of a plain service is killed within answers that have no length; a successor takes its address at once. Conclusion: MIXED is broken; an accepted connection does not prove that the same process listens.

--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -206,16 +206,17 @@
         self.runners.append(runner)
         return runner
 
-    async def add_runner_process(self, name, service, zone='tx-central-a', *, events=0, event_s=0.1, unframed=True):
-        """Start a runner as a process of its own and wait until it listens."""
+    async def add_runner_process(self, name, service, zone='tx-central-a', *, events=0, event_s=0.1, unframed=True, port=0):
+        """Start a runner as a process of its own and wait until it listens, or waits for the port."""
         process = await asyncio.create_subprocess_exec(
             sys.executable, str(pathlib.Path(__file__).parent / 'runner_process.py'), name, service, zone,
-            self.store.address, str(events), str(event_s), str(int(unframed)), stdout=asyncio.subprocess.PIPE,
+            self.store.address, str(events), str(event_s), str(int(unframed)), str(port),
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
         )
         self.processes.append(process)
         async with asyncio.timeout(10):
-            address = (await process.stdout.readline()).decode().strip()
-        self.record.note('runner', name=name, pid=process.pid, address=address)
+            process.address = (await process.stdout.readline()).decode().strip()
+        self.record.note('runner', name=name, pid=process.pid, address=process.address)
         return process
 
     def add_gateway(self, name, zone='tx-central-a', **options):
--- a/review/harness-2/runner_process.py
+++ b/review/harness-2/runner_process.py
@@ -1,8 +1,10 @@
 """A stand-in for a runner as a process of its own, which can be killed.
 
 Arguments: name, service, zone, address of the store, number of events, seconds
-between them, and whether answers have no length (1) or not (0). A number of
-events of 0 makes it a plain service, whose answers come in ten pieces.
+between them, whether answers have no length (1) or not (0), and a port. A number
+of events of 0 makes it a plain service, whose answers come in ten pieces. With a
+port other than 0 it is a successor that waits for a line on its standard input
+before it takes the port.
 
 It writes its entry in the store, again each 1.2 s. At SIGTERM it reports that
 it drains, goes on serving for ``drain_ms``, ends its open answers and exits.
@@ -22,6 +24,8 @@
 from standins import Runner  # noqa: E402
 
 _DRAIN_S = 2.0
+#: Seconds between attempts to take a port from the process before.
+_PORT_RETRY_S = 0.001
 _PIECES = 10
 
 
@@ -107,11 +111,29 @@
             await asyncio.sleep(self.event_s)
 
 
-async def _serve(name, service, zone, store, events, event_s, unframed):
+async def _take_port(runner, port):
+    """Listen at a port as soon as the process before has ended."""
+    await asyncio.to_thread(sys.stdin.readline)
+    runner.born = int(time.time() * 1000)
+    while True:
+        try:
+            await runner.start(None, port=port)
+        except OSError:
+            await asyncio.sleep(_PORT_RETRY_S)
+        else:
+            return
+
+
+async def _serve(name, service, zone, store, events, event_s, unframed, port):
     runner = ProcessRunner(name, service, zone, store, int(events), float(event_s), unframed == '1')
     leaving = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
-    await runner.start(None)
+    if port == '0':
+        await runner.start(None)
+    else:
+        sys.stdout.write('waiting\n')
+        sys.stdout.flush()
+        await _take_port(runner, int(port))
     sys.stdout.write(f'{runner.address}\n')
     sys.stdout.flush()
     await leaving.wait()
--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -201,9 +201,9 @@
         self._sequence = 1
         self._server = None
 
-    async def start(self, store, host='127.0.0.1'):
-        """Listen on a free port and write the entry in the store, again each 1.2 s."""
-        self._server = await asyncio.start_server(self.serve, host, 0, limit=1 << 20)
+    async def start(self, store, host='127.0.0.1', port=0):
+        """Listen, on a free port by default, and write the entry in the store, again each 1.2 s."""
+        self._server = await asyncio.start_server(self.serve, host, port, limit=1 << 20)
         self.address = f'{host}:{self._server.sockets[0].getsockname()[1]}'
         await self.write_entry(store)
         self._beats = asyncio.ensure_future(self._beat(store))
