review: show that answers of a runner that is shut down pass as whole

Tried: one of six runners of a service of streams and of a plain service ends its channels within answers that have no length and is silent from then on. Conclusion: MIXED is broken; an end that can't be checked counts as complete.

--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -7,12 +7,16 @@
 import base64
 import contextlib
 import json
+import os
+import socket
 import struct
 import urllib.parse
 
 HEAD_END = b'\r\n\r\n'
 _LENGTH = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
+#: Connections that fill the queue of a listening socket of length 0.
+_FILLERS = 3
 _REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 412: 'Precondition Failed', 503: 'Service Unavailable'}
 
 
@@ -196,7 +200,9 @@
         self.event_s = event_s
         self.address = ''
         self.runs = []
+        self.unframed = False
         self._note = note
+        self._writers = set()
         self._beats = None
         self._sequence = 1
         self._server = None
@@ -222,14 +228,39 @@
             self._sequence += 1
             await self.write_entry(store)
 
+    def fall_silent(self):
+        """End all connections and answer nothing from now on, as a machine that is shut down.
+
+        The kernel still completes connections up to the length of the queue, so
+        that it is filled here; further attempts get no answer.
+        """
+        self._note('silent', runner=self.name)
+        if self._beats:
+            self._beats.cancel()
+        listener = self._server.sockets[0]
+        asyncio.get_running_loop().remove_reader(listener.fileno())
+        listening = socket.socket(fileno=os.dup(listener.fileno()))
+        listening.listen(0)
+        host, port = self.address.split(':')
+        self._fillers = [listening]
+        for _ in range(_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self._fillers.append(filler)
+        for writer in self._writers:
+            writer.close()
+
     async def serve(self, reader, writer):
         """Answer the requests of one connection, one after another."""
+        self._writers.add(writer)
         try:
             while request := await read_request(reader):
                 await self._answer(request, writer)
         except ConnectionError:
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request, writer):
