--- a/review/harness-2/runner_process.py
+++ b/review/harness-2/runner_process.py
@@ -29,11 +29,18 @@
 _PIECES = 10
 
 
+def _say(word, **fields):
+    """Write a line on the standard output, for the record of the script."""
+    shown = ' '.join(f'{name}={text}' for name, text in fields.items())
+    sys.stdout.write(f'{word} {shown}\n')
+    sys.stdout.flush()
+
+
 class ProcessRunner(Runner):
     """A runner that registers itself in a store of another process."""
 
     def __init__(self, name, service, zone, store, events, event_s, unframed):
-        super().__init__(name, service, zone, lambda *_, **__: None, events=events, event_s=event_s)
+        super().__init__(name, service, zone, _say, events=events, event_s=event_s)
         self._store = store
         self._unframed = unframed
         self._open = 0
@@ -77,6 +84,7 @@
     async def run(self, request, writer):
         """Run a request; an answer without a length ends with its channel."""
         self._open += 1
+        self._note('run', id=request.request_id, method=request.method, target=request.target)
         try:
             await asyncio.sleep(self.work_s)
             if self.events:
@@ -131,11 +139,9 @@
     if port == '0':
         await runner.start(None)
     else:
-        sys.stdout.write('waiting\n')
-        sys.stdout.flush()
+        _say('waiting')
         await _take_port(runner, int(port))
-    sys.stdout.write(f'{runner.address}\n')
-    sys.stdout.flush()
+    _say('listens', address=runner.address)
     await leaving.wait()
     await runner.drain()
 
