--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -95,7 +95,6 @@
         self.name = name
         self.front = front
         self.process = None
-        self.memory_mb = memory_mb
         self._ready = ready
         self._folder = folder
         self._record = record
@@ -130,14 +129,6 @@
         self._record.note('signal', gateway=self.name, number=signal.Signals(number).name)
         self.process.send_signal(number)
 
-    def measure_memory_mb(self):
-        """Return the resident memory of the process in megabytes; 0 if it has ended."""
-        try:
-            text = pathlib.Path(f'/proc/{self.process.pid}/statm').read_text()
-        except OSError:
-            return 0.0
-        return int(text.split()[1]) * os.sysconf('SC_PAGE_SIZE') / 1e6
-
     async def is_ready(self):
         """Return whether the process answers its readiness check with 200."""
         try:
@@ -156,10 +147,6 @@
             while not await self.is_ready():
                 await asyncio.sleep(0.05)
 
-    def read_log(self):
-        """Return what the process has written."""
-        return (self._folder / f'{self.name}.log').read_text(errors='replace')
-
     def stop(self):
         """End the process at once if it still runs."""
         if self.process and self.process.poll() is None:
